--- /dev/null
+++ b/core/testing/doctest_main.cc
@@ -0,0 +1,3 @@
+// Entry point of every test binary.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
--- /dev/null
+++ b/scripts/install.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Installs the Debian packages that the build, the tests and the demo need.
+# Does nothing if all are installed. Needs root, or sudo, for the rest.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+missing=()
+while read -r package; do
+  dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
+done < scripts/packages.txt
+[ ${#missing[@]} -eq 0 ] && exit 0
+
+as_root=()
+[ "$(id -u)" -eq 0 ] || as_root=(sudo)
+"${as_root[@]}" apt-get update -qq
+DEBIAN_FRONTEND=noninteractive "${as_root[@]}" apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,68 @@
+#!/usr/bin/env bash
+# Installs what is needed, checks format and lint, builds, and runs every test:
+# unit tests, the same under the address and undefined-behaviour sanitizers, and
+# the tests over real processes. Ends with "N passed, N failed".
+#
+# A step that fails counts as one failure and does not stop the rest. Tests named
+# in KNOWN-RED.txt are printed and not counted.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+passed=0
+failed=0
+failures=()
+
+# step NAME COMMAND...: runs a command that passes or fails as a whole.
+step() {
+  local name=$1
+  shift
+  echo "== $name"
+  if "$@"; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    failures+=("$name")
+  fi
+}
+
+# unit BINARY: runs a doctest binary and counts its test cases.
+unit() {
+  local binary=$1 output summary good bad
+  echo "== $binary"
+  output=$("$binary" --no-colors=true 2>&1)
+  local status=$?
+  summary=$(grep -E '^\[doctest\] test cases:' <<<"$output" | tail -1)
+  good=$(sed -nE 's/.*\| *([0-9]+) passed.*/\1/p' <<<"$summary")
+  bad=$(sed -nE 's/.*\| *([0-9]+) failed.*/\1/p' <<<"$summary")
+  if [ "$status" -ne 0 ] || [ -z "$summary" ] || [ "${good:-0}" -eq 0 ]; then
+    tail -60 <<<"$output"
+    [ "${bad:-0}" -gt 0 ] || bad=$((${bad:-0} + 1))
+    failures+=("$binary")
+  fi
+  echo "${summary:-no summary, exit status $status}"
+  passed=$((passed + ${good:-0}))
+  failed=$((failed + ${bad:-0}))
+}
+
+step "install packages" scripts/install.sh
+step "format" scripts/lint.sh format
+step "build" scripts/build.sh release
+step "lint" scripts/lint.sh tidy
+for binary in build/*_tests; do
+  unit "$binary"
+done
+step "build with sanitizers" scripts/build.sh sanitize
+for binary in build-sanitize/*_tests; do
+  unit "$binary"
+done
+for script in scripts/process_tests/*.sh; do
+  [ -e "$script" ] || continue
+  case $(basename "$script") in lib.sh) continue ;; esac
+  step "$script" bash "$script"
+done
+
+for name in ${failures[@]+"${failures[@]}"}; do
+  echo "failed: $name"
+done
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
