--- /dev/null
+++ b/core/mac.h
@@ -0,0 +1,21 @@
+// Message authentication under the fleet key.
+//
+// HMAC-SHA256 (RFC 2104) by OpenSSL. Thread safety: pure functions.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace peridot {
+
+inline constexpr std::size_t mac_bytes = 32;
+
+// The raw 32-byte code of the data.
+std::string make_mac(std::string_view key, std::string_view data);
+
+// Compares in constant time. False for a code of another length.
+bool check_mac(std::string_view key, std::string_view data, std::string_view mac);
+
+std::string to_hex(std::string_view bytes);
+
+}  // namespace peridot
--- a/core/published_config.h
+++ b/core/published_config.h
@@ -29,6 +29,7 @@
 struct profile_config {
   profile_name name;
   pool_name pool;
+  std::string path = "/v1/generate";  // at the target
   traffic_class priority = traffic_class::standard;
   std::chrono::milliseconds queue_deadline{10'000};  // longest wait before a target starts
   std::chrono::milliseconds run_timeout{120'000};    // longest run on a target
--- /dev/null
+++ b/core/router_tick.cc
@@ -0,0 +1,173 @@
+// Periodic work of a router, and the grants it makes as an owner.
+
+#include <algorithm>
+#include <utility>
+
+#include "core/check.h"
+#include "core/router_internal.h"
+
+namespace peridot {
+namespace {
+
+const char* lease_detail(lease_event::kind what) {
+  switch (what) {
+    case lease_event::kind::acquired:
+      return "acquired";
+    case lease_event::kind::lost:
+      return "lost";
+    case lease_event::kind::released:
+      return "released";
+  }
+  return "";
+}
+
+event_kind lease_event_kind(lease_event::kind what) {
+  switch (what) {
+    case lease_event::kind::acquired:
+      return event_kind::lease_acquired;
+    case lease_event::kind::lost:
+      return event_kind::lease_lost;
+    case lease_event::kind::released:
+      return event_kind::lease_released;
+  }
+  return event_kind::lease_lost;
+}
+
+void apply_lease_event(router_core& core, const lease_event& change, instant now) {
+  timeline_event event;
+  event.kind = lease_event_kind(change.what);
+  event.detail = "pool=" + change.shard.pool.value +
+                 " shard=" + std::to_string(change.shard.index) + " " + lease_detail(change.what);
+  note(core, std::move(event), now);
+  if (change.what == lease_event::kind::acquired) {
+    const std::uint64_t fencing = core.claims.claims.at(change.shard).fencing;
+    add_shard(core.scheduler, change.shard, fencing, now, make_scheduler_context(core));
+  } else {
+    remove_shard(core.scheduler, change.shard);
+  }
+}
+
+// Routers that hold a shard of a pool of which this router holds one too.
+std::vector<router_address> other_owners(const router_core& core) {
+  std::vector<router_address> owners;
+  for (const std::pair<const router_address, member>& entry : core.members.members) {
+    const member& peer = entry.second;
+    const bool shares_pool =
+        std::any_of(peer.owned.begin(), peer.owned.end(), [&core](const shard_key& theirs) {
+          return std::any_of(core.own_shards.begin(), core.own_shards.end(),
+                             [&theirs](const shard_key& ours) { return ours.pool == theirs.pool; });
+        });
+    if (peer.state == member_state::alive && shares_pool) {
+      owners.push_back(entry.first);
+    }
+  }
+  return owners;
+}
+
+void poll_owned_targets(router_core& core, instant now, effects& todo) {
+  for (const shard_key& shard : core.own_shards) {
+    for (const target_config& target : core.config->targets) {
+      if (target.pool != shard.pool ||
+          shard_of(target.pool, target.name, core.config->fleet.shards_per_pool) != shard) {
+        continue;
+      }
+      instant& due = core.next_load_poll[target.name];
+      if (now >= due) {
+        due = now + core.options.load_poll;
+        todo.load_polls.push_back(target);
+      }
+    }
+  }
+}
+
+std::map<router_address, router_identity> running_peers(const router_core& core) {
+  std::map<router_address, router_identity> running;
+  for (const std::pair<const router_address, member>& entry : core.members.members) {
+    const member_state state = entry.second.state;
+    if (state == member_state::alive || state == member_state::leaving) {
+      running.emplace(entry.first, entry.second.identity);
+    }
+  }
+  return running;
+}
+
+void note_membership_changes(router_core& core,
+                             const std::map<router_address, router_identity>& before, instant now) {
+  const std::map<router_address, router_identity> after = running_peers(core);
+  for (const std::pair<const router_address, router_identity>& entry : before) {
+    if (!after.contains(entry.first)) {
+      note(core, {.kind = event_kind::peer_gone, .peer = entry.first.value}, now);
+      on_peer_gone(core.scheduler, entry.first, now);
+    }
+  }
+}
+
+void ask_for_newer_documents(router_core& core, instant now, effects& todo) {
+  const std::uint64_t have_config = core.config == nullptr ? 0 : core.config->version;
+  const std::uint64_t have_digest = core.config == nullptr ? 0 : core.config->digest;
+  const std::uint64_t have_list = core.list == nullptr ? 0 : core.list->version;
+  for (const std::pair<const router_address, member>& entry : core.members.members) {
+    const member& peer = entry.second;
+    const bool newer_config =
+        std::pair(peer.config_version, peer.config_digest) > std::pair(have_config, have_digest);
+    const bool newer_list = peer.list_version > have_list;
+    if (peer.state != member_state::alive || (!newer_config && !newer_list)) {
+      continue;
+    }
+    instant& asked = core.asked_document[entry.first];
+    if (now - asked < document_request_interval) {
+      continue;
+    }
+    asked = now;
+    outgoing_message message;
+    message.to = entry.first;
+    wire::document_request* request = message.message.mutable_document_request();
+    request->set_kind(newer_config ? wire::document_configuration : wire::document_instance_list);
+    request->set_have_version(newer_config ? have_config : have_list);
+    todo.messages.push_back(std::move(message));
+    return;  // one peer at a time is enough
+  }
+}
+
+}  // namespace
+
+void schedule(router_core& core, instant now, effects& todo) {
+  const lease_context leases = make_lease_context(core);
+  std::vector<shard_lease> usable;
+  for (const shard_key& shard : core.own_shards) {
+    if (holds(core.claims, leases, shard, now)) {
+      usable.push_back({shard, held_until(core.claims, leases, shard)});
+    }
+  }
+  grant_slots(core.scheduler, usable, make_scheduler_context(core), now, todo.messages);
+}
+
+void router_tick(router_core& core, instant now, effects& todo) {
+  const std::map<router_address, router_identity> before = running_peers(core);
+  membership_tick(core.members, fleet_of(core), core.list.get(), make_local_status(core, now), now,
+                  todo.messages);
+  note_membership_changes(core, before, now);
+  expire_keys(core.keys, now);
+  ask_for_newer_documents(core, now, todo);
+  if (core.config == nullptr) {
+    return;
+  }
+  const std::vector<lease_event> changes = lease_tick(core.claims, core.votes, core.shards,
+                                                      make_lease_context(core), now, todo.messages);
+  for (const lease_event& change : changes) {
+    apply_lease_event(core, change, now);
+  }
+  core.own_shards = held_shards(core.claims, make_lease_context(core), now);
+  if (!changes.empty()) {
+    send_heartbeats(core.members, fleet_of(core), make_local_status(core, now), now, todo.messages);
+  }
+  poll_owned_targets(core, now, todo);
+  const std::vector<decision> expired =
+      entry_tick(core.entry, make_entry_context(core), now, todo.messages);
+  todo.decisions.insert(todo.decisions.end(), expired.begin(), expired.end());
+  schedule(core, now, todo);
+  send_totals(core.scheduler, other_owners(core), make_scheduler_context(core), now, todo.messages);
+  deliver_to_self(core, now, todo);
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/net/forward.cc
@@ -0,0 +1,137 @@
+// Passes a call to the router that issued its key, and relays the answer.
+//
+// Only the issuer may start such a call, so this router starts nothing, queues
+// nothing and keeps nothing. If the issuer's address answers with another
+// incarnation, the issuer's process has ended, and the call will never run from
+// now on.
+
+#include <utility>
+
+#include "core/check.h"
+#include "net/log.h"
+#include "net/process_internal.h"
+
+namespace peridot {
+namespace {
+
+constexpr std::chrono::milliseconds unreachable_retry{1'000};
+constexpr std::chrono::milliseconds forward_timeout{600'000};
+constexpr std::size_t max_forwards = 4'096;
+
+struct forward_state {
+  std::shared_ptr<server_exchange> exchange;
+  answer_head head;
+  bool begun = false;
+};
+
+bool is_answer_header(std::string_view name) {
+  for (std::string_view kept :
+       {"Content-Type", "X-Outcome", "X-Refusal", "Retry-After", "X-Request-Id", "X-Target",
+        "X-Total-Tokens", "X-Prompt-Hash", "X-Service-Units", "X-Replayed", "X-Answer-Kept"}) {
+    if (find_header({{std::string(name), "present"}}, kept) == "present") {
+      return true;
+    }
+  }
+  return false;
+}
+
+void begin_relay(forward_state& state) {
+  if (state.begun) {
+    return;
+  }
+  state.begun = true;
+  std::vector<http_header> headers;
+  for (const http_header& header : state.head.headers) {
+    if (is_answer_header(header.name)) {
+      headers.push_back(header);
+    }
+  }
+  reply_begin(*state.exchange, state.head.status, headers);
+}
+
+void end_relay(router_process& process, forward_state& state, std::uint64_t id, call_end end) {
+  process.forwards.erase(id);
+  state.exchange->on_gone = nullptr;
+  if (end == call_end::complete) {
+    begin_relay(state);
+    reply_end(*state.exchange);
+    return;
+  }
+  if (state.begun) {
+    ++process.counts.cut_answers;
+    reply_abort(*state.exchange);
+    return;
+  }
+  answer_failure(process, *state.exchange,
+                 {outcome::unknown, refusal::key_issuer_unreachable, unreachable_retry,
+                  "The issuer of the key cannot be reached. Repeat with the same key."});
+}
+
+http_call make_forward(const server_exchange& exchange, const parsed_key& key) {
+  http_call call;
+  call.address = key.issuer_http;
+  call.method = http_method::post;
+  call.path = "/v1/requests";
+  for (const http_header& header : exchange.headers) {
+    const bool hop_by_hop = find_header({header}, "Host") == header.value ||
+                            find_header({header}, "Connection") == header.value ||
+                            find_header({header}, "Content-Length") == header.value ||
+                            find_header({header}, "Transfer-Encoding") == header.value;
+    if (!hop_by_hop) {
+      call.headers.push_back(header);
+    }
+  }
+  call.headers.push_back({header_forwarded, "1"});
+  call.body = exchange.body;
+  call.idle_timeout = forward_timeout;
+  return call;
+}
+
+}  // namespace
+
+void forward_call(router_process& process, const std::shared_ptr<server_exchange>& exchange,
+                  const parsed_key& key) {
+  const bool at_issuers_address = key.issuer_http == process.settings.http_address ||
+                                  key.issuer.address == process.core.options.self.address;
+  if (at_issuers_address || !find_header(exchange->headers, header_forwarded).empty()) {
+    answer_failure(
+        process, *exchange,
+        {outcome::unknown,
+         refusal::key_issuer_gone,
+         {},
+         "The router that issued the key has ended. The call will not run from now on."});
+    return;
+  }
+  if (process.forwards.size() >= max_forwards) {
+    answer_failure(process, *exchange,
+                   {outcome::unknown, refusal::overloaded, unreachable_retry, ""});
+    return;
+  }
+  const std::uint64_t id = process.next_forward++;
+  std::shared_ptr<forward_state> state = std::make_shared<forward_state>();
+  state->exchange = exchange;
+  call_handlers handlers;
+  handlers.on_head = [state](const answer_head& head) { state->head = head; };
+  handlers.on_data = [state](std::string_view data) {
+    begin_relay(*state);
+    reply_data(*state->exchange, data);
+  };
+  handlers.on_end = [&process, state, id](call_end end) { end_relay(process, *state, id, end); };
+  std::shared_ptr<client_call> call =
+      start_call(process.base.get(), make_forward(*exchange, key), std::move(handlers));
+  exchange->on_gone = [&process, id]() {
+    std::map<std::uint64_t, std::shared_ptr<client_call>>::iterator found =
+        process.forwards.find(id);
+    if (found != process.forwards.end()) {
+      cancel_call(*found->second);
+      process.forwards.erase(found);
+    }
+  };
+  process.forwards.emplace(id, std::move(call));
+  timeline_event event;
+  event.kind = event_kind::key_forwarded;
+  event.peer = key.issuer.address.value;
+  record(process.core.events, std::move(event), current_time(), std::chrono::system_clock::now());
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/net/http_server.cc
@@ -0,0 +1,265 @@
+#include "net/http_server.h"
+
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "core/check.h"
+
+namespace peridot {
+namespace {
+
+// The library declares one hook type for all of its hooks.
+template <class Function>
+evhtp_hook as_hook(Function* function) {
+  return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function));
+}
+
+// The library's request holds one of these until its fini hook.
+struct exchange_holder {
+  std::shared_ptr<server_exchange> exchange;
+};
+
+void detach(server_exchange& exchange) {
+  exchange.request = nullptr;
+  exchange.closed_event.reset();
+}
+
+void caller_left(server_exchange& exchange) {
+  if (exchange.request == nullptr) {
+    return;
+  }
+  detach(exchange);
+  if (exchange.on_gone) {
+    const std::function<void()> on_gone = std::exchange(exchange.on_gone, nullptr);
+    on_gone();
+  }
+}
+
+// Ends the connection without completing the answer. The library notices the end
+// of its own accord and frees the connection, which it may be inside of now.
+void break_connection(evhtp_request_t* request) {
+  shutdown(bufferevent_getfd(evhtp_request_get_bev(request)), SHUT_RDWR);
+  evhtp_request_resume(request);
+}
+
+// Called when everything written to the connection has left.
+evhtp_res on_write(evhtp_connection_t*, void* argument) {
+  if (argument == nullptr) {
+    return EVHTP_RES_OK;
+  }
+  const std::shared_ptr<server_exchange> exchange =
+      static_cast<exchange_holder*>(argument)->exchange;
+  if (exchange->request != nullptr && exchange->on_drained) {
+    exchange->on_drained();
+  }
+  return EVHTP_RES_OK;
+}
+
+void set_write_hook(evhtp_connection_t* connection, exchange_holder* holder) {
+  evhtp_connection_set_hook(connection, evhtp_hook_on_write, as_hook(on_write), holder);
+}
+
+// Called before the library frees the request, whatever the reason.
+evhtp_res on_request_fini(evhtp_request_t* request, void* argument) {
+  const std::unique_ptr<exchange_holder> holder(static_cast<exchange_holder*>(argument));
+  set_write_hook(evhtp_request_get_connection(request), nullptr);
+  caller_left(*holder->exchange);
+  return EVHTP_RES_OK;
+}
+
+// The peer closed its side while the request waits for its answer.
+void on_closed(evutil_socket_t, short, void* argument) {
+  server_exchange& exchange = *static_cast<server_exchange*>(argument);
+  evhtp_request_t* request = exchange.request;
+  if (request == nullptr) {
+    return;
+  }
+  caller_left(exchange);
+  break_connection(request);
+}
+
+int copy_header(evhtp_kv_t* entry, void* argument) {
+  static_cast<std::vector<http_header>*>(argument)->push_back(
+      {std::string(entry->key, entry->klen), std::string(entry->val, entry->vlen)});
+  return 0;
+}
+
+std::shared_ptr<server_exchange> read_request(event_base* base, evhtp_request_t* request) {
+  std::shared_ptr<server_exchange> exchange = std::make_shared<server_exchange>();
+  exchange->base = base;
+  exchange->request = request;
+  exchange->is_post = request->method == htp_method_POST;
+  if (request->uri != nullptr && request->uri->path != nullptr &&
+      request->uri->path->full != nullptr) {
+    exchange->path = request->uri->path->full;
+  }
+  if (request->uri != nullptr && request->uri->query_raw != nullptr) {
+    exchange->query = reinterpret_cast<const char*>(request->uri->query_raw);
+  }
+  evhtp_headers_for_each(request->headers_in, copy_header, &exchange->headers);
+  const std::size_t length = evbuffer_get_length(request->buffer_in);
+  exchange->body.resize(length);
+  evbuffer_copyout(request->buffer_in, exchange->body.data(), length);
+  return exchange;
+}
+
+// Called by the library once a whole request has arrived.
+void on_request(evhtp_request_t* request, void* argument) {
+  http_server& server = *static_cast<http_server*>(argument);
+  std::shared_ptr<server_exchange> exchange = read_request(server.base, request);
+  exchange_holder* holder = new exchange_holder{exchange};
+  evhtp_request_set_hook(request, evhtp_hook_on_request_fini, as_hook(on_request_fini), holder);
+  set_write_hook(evhtp_request_get_connection(request), holder);
+  const evutil_socket_t socket = bufferevent_getfd(evhtp_request_get_bev(request));
+  exchange->closed_event.reset(
+      event_new(server.base, socket, EV_CLOSED | EV_PERSIST, on_closed, exchange.get()));
+  event_add(exchange->closed_event.get(), nullptr);
+  evhtp_request_pause(request);
+  server.handler(exchange);
+}
+
+evhtp_res on_headers(evhtp_request_t* request, evhtp_headers_t* headers, void* argument) {
+  const http_server& server = *static_cast<const http_server*>(argument);
+  std::size_t bytes = 0;
+  for (evhtp_kv_t* entry = headers->tqh_first; entry != nullptr; entry = entry->next.tqe_next) {
+    bytes += entry->klen + entry->vlen;
+  }
+  (void)request;
+  return bytes > server.options.max_header_bytes ? EVHTP_RES_400 : EVHTP_RES_OK;
+}
+
+evhtp_res on_connection_fini(evhtp_connection_t*, void* argument) {
+  http_server& server = *static_cast<http_server*>(argument);
+  PERIDOT_CHECK(server.connections > 0, "connections are counted wrongly");
+  --server.connections;
+  return EVHTP_RES_OK;
+}
+
+evhtp_res on_accept(evhtp_connection_t* connection, void* argument) {
+  http_server& server = *static_cast<http_server*>(argument);
+  if (server.connections >= server.options.max_connections) {
+    return EVHTP_RES_ERROR;
+  }
+  ++server.connections;
+  evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, as_hook(on_connection_fini),
+                            argument);
+  evhtp_connection_set_hook(connection, evhtp_hook_on_headers, as_hook(on_headers), argument);
+  return EVHTP_RES_OK;
+}
+
+void add_headers(evhtp_request_t* request, const std::vector<http_header>& headers) {
+  for (const http_header& header : headers) {
+    evhtp_headers_add_header(request->headers_out,
+                             evhtp_header_new(header.name.c_str(), header.value.c_str(), 1, 1));
+  }
+}
+
+}  // namespace
+
+leaf::result<std::unique_ptr<http_server>> start_server(event_base* base,
+                                                        const server_options& options,
+                                                        exchange_handler handler) {
+  std::unique_ptr<http_server> server = std::make_unique<http_server>();
+  server->base = base;
+  server->options = options;
+  server->handler = std::move(handler);
+  server->library = evhtp_new(base, nullptr);
+  PERIDOT_CHECK(server->library != nullptr, "out of memory for the server");
+  evhtp_set_gencb(server->library, on_request, server.get());
+  evhtp_set_post_accept_cb(server->library, on_accept, server.get());
+  evhtp_set_max_body_size(server->library, options.max_body_bytes);
+  evhtp_enable_flag(server->library, EVHTP_FLAG_ENABLE_NODELAY);
+  const timeval read = to_timeval(options.read_timeout);
+  const timeval write = to_timeval(options.write_timeout);
+  evhtp_set_timeouts(server->library, &read, &write);
+  const ip_endpoint endpoint = parse_endpoint(options.address);
+  const std::string host =
+      endpoint.host.find(':') == std::string::npos ? endpoint.host : "ipv6:" + endpoint.host;
+  constexpr int backlog = 1024;
+  if (evhtp_bind_socket(server->library, host.c_str(), endpoint.port, backlog) != 0) {
+    const std::string cause = std::strerror(errno);
+    evhtp_free(server->library);
+    return setup_error("bind", options.address, cause);
+  }
+  return server;
+}
+
+void stop_listening(http_server& server) {
+  evhtp_unbind_socket(server.library);
+}
+
+void reply(server_exchange& exchange, int status, const std::vector<http_header>& headers,
+           std::string_view body) {
+  evhtp_request_t* request = exchange.request;
+  if (request == nullptr) {
+    return;
+  }
+  detach(exchange);
+  add_headers(request, headers);
+  evbuffer_add(request->buffer_out, body.data(), body.size());
+  evhtp_send_reply(request, static_cast<evhtp_res>(status));
+  evhtp_request_resume(request);
+}
+
+void reply_begin(server_exchange& exchange, int status, const std::vector<http_header>& headers) {
+  if (exchange.request == nullptr) {
+    return;
+  }
+  exchange.begun = true;
+  add_headers(exchange.request, headers);
+  evhtp_send_reply_chunk_start(exchange.request, static_cast<evhtp_res>(status));
+}
+
+void reply_data(server_exchange& exchange, std::string_view data) {
+  if (exchange.request == nullptr || data.empty()) {
+    return;
+  }
+  const evbuffer_ptr buffer(evbuffer_new());
+  evbuffer_add(buffer.get(), data.data(), data.size());
+  evhtp_send_reply_chunk(exchange.request, buffer.get());
+}
+
+void reply_end(server_exchange& exchange) {
+  evhtp_request_t* request = exchange.request;
+  if (request == nullptr) {
+    return;
+  }
+  detach(exchange);
+  evhtp_send_reply_chunk_end(request);
+  evhtp_request_resume(request);
+}
+
+void reply_abort(server_exchange& exchange) {
+  evhtp_request_t* request = exchange.request;
+  if (request == nullptr) {
+    return;
+  }
+  detach(exchange);
+  break_connection(request);
+}
+
+std::size_t unsent_bytes(const server_exchange& exchange) {
+  if (exchange.request == nullptr) {
+    return 0;
+  }
+  return evbuffer_get_length(bufferevent_get_output(evhtp_request_get_bev(exchange.request)));
+}
+
+std::string query_value(std::string_view query, std::string_view name) {
+  while (!query.empty()) {
+    const std::size_t end = query.find('&');
+    const std::string_view pair = query.substr(0, end);
+    if (pair.size() > name.size() && pair.substr(0, name.size()) == name &&
+        pair[name.size()] == '=') {
+      return std::string(pair.substr(name.size() + 1));
+    }
+    query = end == std::string_view::npos ? std::string_view() : query.substr(end + 1);
+  }
+  return {};
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/net/loop.cc
@@ -0,0 +1,54 @@
+#include "net/loop.h"
+
+#include <cstdlib>
+#include <utility>
+
+namespace peridot {
+namespace {
+
+void run_once(evutil_socket_t, short, void* argument) {
+  std::unique_ptr<std::function<void()>> work(static_cast<std::function<void()>*>(argument));
+  (*work)();
+}
+
+void run_again(evutil_socket_t, short, void* argument) {
+  (*static_cast<std::function<void()>*>(argument))();
+}
+
+}  // namespace
+
+ip_endpoint parse_endpoint(std::string_view address) {
+  const std::size_t colon = address.rfind(':');
+  std::string_view host = address.substr(0, colon);
+  if (host.size() >= 2 && host.front() == '[') {
+    host = host.substr(1, host.size() - 2);
+  }
+  ip_endpoint endpoint;
+  endpoint.host = std::string(host);
+  if (colon != std::string_view::npos) {
+    const std::string digits(address.substr(colon + 1));
+    endpoint.port = static_cast<std::uint16_t>(std::strtoul(digits.c_str(), nullptr, 10));
+  }
+  return endpoint;
+}
+
+timeval to_timeval(std::chrono::milliseconds time) {
+  const std::chrono::seconds seconds = std::chrono::duration_cast<std::chrono::seconds>(time);
+  const std::chrono::microseconds rest = time - seconds;
+  return timeval{static_cast<time_t>(seconds.count()), static_cast<suseconds_t>(rest.count())};
+}
+
+void run_later(event_base* base, std::function<void()> work) {
+  const timeval now{0, 0};
+  event_base_once(base, -1, EV_TIMEOUT, run_once, new std::function<void()>(std::move(work)), &now);
+}
+
+event_ptr run_periodically(event_base* base, std::chrono::milliseconds period,
+                           std::function<void()>* work) {
+  event_ptr handle(event_new(base, -1, EV_PERSIST, run_again, work));
+  const timeval interval = to_timeval(period);
+  event_add(handle.get(), &interval);
+  return handle;
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/net/loop.h
@@ -0,0 +1,56 @@
+// The event loop of a process, and owners for libevent's handles.
+//
+// One loop on one thread: every function of net/ is called on it.
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace peridot {
+
+struct event_base_deleter {
+  void operator()(event_base* base) const {
+    event_base_free(base);
+  }
+};
+struct event_deleter {
+  void operator()(event* handle) const {
+    event_free(handle);
+  }
+};
+struct evbuffer_deleter {
+  void operator()(evbuffer* buffer) const {
+    evbuffer_free(buffer);
+  }
+};
+
+using event_base_ptr = std::unique_ptr<event_base, event_base_deleter>;
+using event_ptr = std::unique_ptr<event, event_deleter>;
+using evbuffer_ptr = std::unique_ptr<evbuffer, evbuffer_deleter>;
+
+// IP number and port, as libraries want them.
+struct ip_endpoint {
+  std::string host;  // without brackets
+  std::uint16_t port = 0;
+};
+
+// Splits "10.0.0.7:80" or "[::1]:80". Precondition: checked by settings.
+ip_endpoint parse_endpoint(std::string_view address);
+
+timeval to_timeval(std::chrono::milliseconds time);
+
+// Runs `work` once from the loop, after the current callback has returned.
+void run_later(event_base* base, std::function<void()> work);
+
+// Calls `work` each `period` until the returned handle is destroyed. The
+// function object must outlive the handle.
+event_ptr run_periodically(event_base* base, std::chrono::milliseconds period,
+                           std::function<void()>* work);
+
+}  // namespace peridot
--- /dev/null
+++ b/net/mesh.cc
@@ -0,0 +1,184 @@
+#include "net/mesh.h"
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "core/mac.h"
+#include "net/log.h"
+
+namespace peridot {
+namespace {
+
+constexpr int linger_ms = 0;
+constexpr int queue_limit = 1'000;  // messages per peer, either direction
+constexpr int reconnect_ms = 100;
+constexpr int reconnect_max_ms = 2'000;
+constexpr int connect_timeout_ms = 2'000;
+constexpr std::size_t max_remembered_senders = 4 * max_peers;
+
+void on_readable(evutil_socket_t, short, void* argument) {
+  receive_messages(*static_cast<mesh*>(argument));
+}
+
+mesh_peer* connect_peer(mesh& peers, const router_address& address) {
+  std::map<router_address, mesh_peer>::iterator found = peers.peers.find(address);
+  if (found != peers.peers.end()) {
+    return &found->second;
+  }
+  if (peers.peers.size() >= max_peers) {
+    return nullptr;
+  }
+  zmq::socket_t socket(peers.context, zmq::socket_type::dealer);
+  socket.set(zmq::sockopt::linger, linger_ms);
+  socket.set(zmq::sockopt::sndhwm, queue_limit);
+  socket.set(zmq::sockopt::immediate, 1);
+  socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
+  socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
+  socket.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
+  try {
+    socket.connect("tcp://" + address.value);
+  } catch (const zmq::error_t& error) {
+    log_line(log_part::mesh, log_level::warn,
+             "Address cannot be connected. peer=" + address.value +
+                 " step=connect error=" + error.what());
+    return nullptr;
+  }
+  return &peers.peers.emplace(address, mesh_peer{std::move(socket)}).first->second;
+}
+
+void receive_one(mesh& peers, std::string_view bytes) {
+  ++peers.counters.received;
+  peers.counters.received_bytes += bytes.size();
+  const std::optional<wire::peer_message> message =
+      open_message(peers.options, bytes, peers.counters);
+  if (!message) {
+    return;
+  }
+  const router_identity from{router_address{message->from_address()}, message->from_incarnation()};
+  if (peers.newest_sequence.size() >= max_remembered_senders) {
+    peers.newest_sequence.clear();
+  }
+  std::uint64_t& newest = peers.newest_sequence[from];
+  if (message->sequence() <= newest) {
+    ++peers.counters.repeated;
+    return;
+  }
+  newest = message->sequence();
+  peers.handler(from, *message);
+}
+
+}  // namespace
+
+leaf::result<std::unique_ptr<mesh>> start_mesh(event_base* base, const mesh_options& options,
+                                               message_handler handler) {
+  std::unique_ptr<mesh> peers = std::make_unique<mesh>();
+  peers->options = options;
+  peers->handler = std::move(handler);
+  peers->base = base;
+  peers->inbound = zmq::socket_t(peers->context, zmq::socket_type::router);
+  peers->inbound.set(zmq::sockopt::linger, linger_ms);
+  peers->inbound.set(zmq::sockopt::rcvhwm, queue_limit);
+  peers->inbound.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(max_message_bytes));
+  try {
+    peers->inbound.bind("tcp://" + options.self.address.value);
+  } catch (const zmq::error_t& error) {
+    return setup_error("bind", options.self.address.value, error.what());
+  }
+  const int descriptor = peers->inbound.get(zmq::sockopt::fd);
+  peers->readable.reset(
+      event_new(base, descriptor, EV_READ | EV_PERSIST, on_readable, peers.get()));
+  event_add(peers->readable.get(), nullptr);
+  return peers;
+}
+
+void send_message(mesh& peers, const outgoing_message& message, std::uint64_t event_sequence) {
+  mesh_peer* peer = connect_peer(peers, message.to);
+  if (peer == nullptr) {
+    ++peers.counters.not_sent;
+    return;
+  }
+  wire::peer_message complete = message.message;
+  complete.set_protocol(protocol_version);
+  complete.set_from_address(peers.options.self.address.value);
+  complete.set_from_incarnation(peers.options.self.incarnation);
+  complete.set_to_address(message.to.value);
+  complete.set_to_incarnation(message.to_incarnation);
+  complete.set_sequence(++peers.sequence);
+  complete.set_from_name(peers.options.name);
+  complete.set_event_sequence(event_sequence);
+  wire::sealed_message sealed;
+  complete.SerializeToString(sealed.mutable_payload());
+  sealed.set_mac(make_mac(peers.options.fleet_key, sealed.payload()));
+  const std::string bytes = sealed.SerializeAsString();
+  const zmq::send_result_t sent = peer->socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+  if (!sent) {
+    ++peers.counters.not_sent;
+    return;
+  }
+  ++peers.counters.sent;
+  peers.counters.sent_bytes += bytes.size();
+}
+
+void receive_messages(mesh& peers) {
+  // The descriptor is edge-triggered: read until nothing is left.
+  while (true) {
+    zmq::message_t identity;
+    if (!peers.inbound.recv(identity, zmq::recv_flags::dontwait)) {
+      return;
+    }
+    zmq::message_t body;
+    bool first = true;
+    bool more = identity.more();
+    while (more) {
+      zmq::message_t part;
+      if (!peers.inbound.recv(part, zmq::recv_flags::dontwait)) {
+        return;
+      }
+      more = part.more();
+      if (first) {
+        body = std::move(part);
+        first = false;
+      }
+    }
+    receive_one(peers, body.to_string_view());
+  }
+}
+
+void forget_peers(mesh& peers, const std::map<router_address, bool>& keep) {
+  std::erase_if(peers.peers, [&keep](const std::pair<const router_address, mesh_peer>& entry) {
+    return !keep.contains(entry.first);
+  });
+}
+
+std::optional<wire::peer_message> open_message(const mesh_options& options, std::string_view bytes,
+                                               mesh_counters& counters) {
+  wire::sealed_message sealed;
+  if (!sealed.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    ++counters.malformed;
+    return std::nullopt;
+  }
+  if (!check_mac(options.fleet_key, sealed.payload(), sealed.mac())) {
+    ++counters.bad_seal;
+    return std::nullopt;
+  }
+  wire::peer_message message;
+  if (!message.ParseFromString(sealed.payload())) {
+    ++counters.malformed;
+    return std::nullopt;
+  }
+  if (message.protocol() != protocol_version) {
+    ++counters.wrong_version;
+    return std::nullopt;
+  }
+  const bool for_me =
+      message.to_address() == options.self.address.value &&
+      (message.to_incarnation() == 0 || message.to_incarnation() == options.self.incarnation);
+  if (!for_me || message.from_address().empty()) {
+    ++counters.misaddressed;
+    return std::nullopt;
+  }
+  return message;
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/net/mesh.h
@@ -0,0 +1,92 @@
+// Peer messages over ZeroMQ.
+//
+// Each router binds one ROUTER socket and connects one DEALER socket to each
+// peer that it writes to. Messages are sealed with the fleet key; what fails the
+// check, is addressed to somebody else or to an earlier incarnation, comes from
+// another protocol version, or is older than what was already seen of its
+// sender, is counted and dropped. Nothing is queued for a peer that is not
+// connected: the decision logic sends again what matters.
+//
+//   leaf::result<std::unique_ptr<mesh>> peers = start_mesh(base, options, on_message);
+//   send_message(*peers, outgoing, event_sequence);
+//
+// Budget: `max_peers` connections and `max_message_bytes` a message.
+// Thread safety: none; one loop. The library runs one thread of its own.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <zmq.hpp>
+
+#include "core/peer_messages.h"
+#include "core/types.h"
+#include "net/error.h"
+#include "net/loop.h"
+
+namespace peridot {
+
+inline constexpr std::size_t max_message_bytes = 2 << 20;
+inline constexpr std::size_t max_peers = 4'096;
+
+struct mesh_options {
+  router_identity self;
+  std::string name;
+  std::string fleet_key;
+};
+
+struct mesh_counters {
+  std::uint64_t sent = 0;
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t received = 0;
+  std::uint64_t received_bytes = 0;
+  std::uint64_t not_sent = 0;  // no connection, or its queue is full
+  std::uint64_t bad_seal = 0;
+  std::uint64_t malformed = 0;
+  std::uint64_t wrong_version = 0;
+  std::uint64_t misaddressed = 0;
+  std::uint64_t repeated = 0;  // doubled or overtaken
+};
+
+using message_handler =
+    std::function<void(const router_identity& from, const wire::peer_message& message)>;
+
+struct mesh_peer {
+  zmq::socket_t socket;
+};
+
+struct mesh {
+  mesh_options options;
+  message_handler handler;
+  event_base* base = nullptr;
+  zmq::context_t context{1};
+  zmq::socket_t inbound;
+  event_ptr readable;
+  std::map<router_address, mesh_peer> peers;
+  std::uint64_t sequence = 0;  // of the newest message sent, over all peers
+  std::map<router_identity, std::uint64_t> newest_sequence;
+  mesh_counters counters;
+};
+
+// Fails at step "bind" if the address cannot be bound.
+leaf::result<std::unique_ptr<mesh>> start_mesh(event_base* base, const mesh_options& options,
+                                               message_handler handler);
+
+void send_message(mesh& peers, const outgoing_message& message, std::uint64_t event_sequence);
+
+// Reads everything that has arrived. Also called by the loop.
+void receive_messages(mesh& peers);
+
+// Closes the connections to peers that are not in `keep`.
+void forget_peers(mesh& peers, const std::map<router_address, bool>& keep);
+
+// Opens a sealed message. Empty, and the counter that says why raised, if it is
+// not acceptable. Separate from the socket so that it can be fuzzed.
+std::optional<wire::peer_message> open_message(const mesh_options& options, std::string_view bytes,
+                                               mesh_counters& counters);
+
+}  // namespace peridot
--- /dev/null
+++ b/net/metrics.cc
@@ -0,0 +1,73 @@
+#include "net/metrics.h"
+
+#include <sstream>
+
+namespace peridot {
+namespace {
+
+void write_distribution(std::ostringstream& out, const std::string& name, const std::string& help,
+                        const time_distribution& distribution) {
+  out << "# HELP " << name << " " << help << "\n# TYPE " << name << " histogram\n";
+  const time_counts& counts = distribution.counts;
+  const int bins = static_cast<int>(counts.axis().size());
+  double total = counts.at(-1);  // below the first bin
+  for (int bin = 0; bin < bins; ++bin) {
+    total += counts.at(bin);
+    out << name << "_bucket{le=\"" << counts.axis().bin(bin).upper() << "\"} " << total << "\n";
+  }
+  total += counts.at(bins);
+  out << name << "_bucket{le=\"+Inf\"} " << total << "\n";
+  out << name << "_sum " << distribution.sum_seconds << "\n";
+  out << name << "_count " << total << "\n";
+}
+
+void write_counter_head(std::ostringstream& out, const std::string& name, const std::string& help) {
+  out << "# HELP " << name << " " << help << "\n# TYPE " << name << " counter\n";
+}
+
+}  // namespace
+
+void observe(time_distribution& distribution, duration elapsed) {
+  const double seconds = std::chrono::duration<double>(elapsed).count();
+  distribution.counts(seconds);
+  distribution.sum_seconds += seconds;
+}
+
+std::string to_exposition(const metrics& values, const std::vector<gauge>& gauges) {
+  std::ostringstream out;
+  write_distribution(out, "peridot_queue_wait_seconds", "From arrival to dispatch.",
+                     values.queue_wait);
+  write_distribution(out, "peridot_first_byte_seconds", "From arrival to the answer's first byte.",
+                     values.first_byte);
+  write_distribution(out, "peridot_between_chunks_seconds", "Between chunks of a streamed answer.",
+                     values.between_chunks);
+  write_distribution(out, "peridot_answer_seconds", "From arrival to the answer's end.",
+                     values.whole_answer);
+  write_counter_head(out, "peridot_answered_total", "Calls answered whole.");
+  out << "peridot_answered_total " << values.answered << "\n";
+  write_counter_head(out, "peridot_refused_total", "Calls refused or failed, by reason.");
+  for (const std::pair<const refusal, std::uint64_t>& entry : values.refused) {
+    out << "peridot_refused_total{reason=\"" << to_text(entry.first) << "\"} " << entry.second
+        << "\n";
+  }
+  write_counter_head(out, "peridot_not_done_total", "Calls that were not done, by outcome.");
+  for (const std::pair<const outcome, std::uint64_t>& entry : values.not_done) {
+    out << "peridot_not_done_total{outcome=\"" << to_text(entry.first) << "\"} " << entry.second
+        << "\n";
+  }
+  write_counter_head(out, "peridot_retried_total", "Runs that were tried again.");
+  out << "peridot_retried_total " << values.retried << "\n";
+  write_counter_head(out, "peridot_cut_answers_total",
+                     "Answers that ended before they were whole.");
+  out << "peridot_cut_answers_total " << values.cut_answers << "\n";
+  write_counter_head(out, "peridot_callers_gone_total", "Callers that left before their answer.");
+  out << "peridot_callers_gone_total " << values.callers_gone << "\n";
+  for (const gauge& value : gauges) {
+    out << "# HELP " << value.name << " " << value.help << "\n# TYPE " << value.name << " "
+        << (value.counter ? "counter" : "gauge") << "\n"
+        << value.name << " " << value.value << "\n";
+  }
+  return out.str();
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/net/platform.cc
@@ -0,0 +1,177 @@
+// The platform's configuration service and list, and the targets' load reports.
+//
+// Only routers that should watch hold a waiting watch; the others learn of new
+// versions from their peers. A failed watch is tried again after a pause that
+// doubles up to a bound, so that a service that is down is not called in a loop.
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "net/log.h"
+#include "net/process_internal.h"
+
+namespace peridot {
+namespace {
+
+constexpr std::chrono::milliseconds first_backoff{250};
+constexpr std::chrono::milliseconds longest_backoff{5'000};
+constexpr std::chrono::milliseconds watch_slack{2'000};  // beyond the wait that was asked for
+constexpr std::chrono::milliseconds load_timeout{1'000};
+constexpr std::size_t max_load_report_bytes = 4'096;
+
+std::uint64_t known_version(const router_core& core, wire::document_kind kind) {
+  if (kind == wire::document_configuration) {
+    return core.config == nullptr ? 0 : core.config->version;
+  }
+  return core.list == nullptr ? 0 : core.list->version;
+}
+
+const char* value_name(wire::document_kind kind) {
+  return kind == wire::document_configuration ? "config" : "instances";
+}
+
+void accept_document(router_process& process, value_watch& watch) {
+  effects todo;
+  const document_verdict verdict = router_on_document(
+      process.core, watch.kind, watch.text, process.settings.config_service, current_time(), todo);
+  carry_out(process, todo);
+  const std::string what = value_name(watch.kind);
+  if (verdict == document_verdict::accepted) {
+    log_line(log_part::config, log_level::info,
+             "Document is in force. value=" + what +
+                 " version=" + std::to_string(known_version(process.core, watch.kind)));
+  } else if (verdict == document_verdict::refused) {
+    log_line(log_part::config, log_level::error,
+             "Document is refused. value=" + what +
+                 " problem=" + to_text(process.core.refused_config.front()));
+  }
+}
+
+void end_watch(router_process& process, value_watch& watch, call_end end) {
+  watch.call.reset();
+  const instant now = current_time();
+  const bool answered = end == call_end::complete && (watch.status == 200 || watch.status == 304);
+  if (!answered) {
+    watch.backoff = std::clamp(watch.backoff * 2, first_backoff, longest_backoff);
+    watch.next_try = now + watch.backoff;
+    return;
+  }
+  watch.backoff = std::chrono::milliseconds{0};
+  watch.next_try = now;
+  if (watch.status == 200) {
+    const std::uint64_t before = known_version(process.core, watch.kind);
+    accept_document(process, watch);
+    if (known_version(process.core, watch.kind) == before) {
+      watch.next_try = now + first_backoff;  // the service serves an old or a bad copy
+    }
+  }
+}
+
+void start_watch(router_process& process, value_watch& watch) {
+  const bool uninformed = known_version(process.core, watch.kind) == 0;
+  const std::chrono::milliseconds wait =
+      uninformed ? std::chrono::milliseconds{0} : process.settings.watch_wait;
+  http_call call;
+  call.address = process.settings.config_service;
+  call.path = std::string("/v1/values/") + value_name(watch.kind) +
+              "?after=" + std::to_string(known_version(process.core, watch.kind)) +
+              "&wait_ms=" + std::to_string(wait.count());
+  call.idle_timeout = std::max(process.settings.service_timeout, wait + watch_slack);
+  watch.text.clear();
+  watch.status = 0;
+  ++watch.calls;
+  call_handlers handlers;
+  handlers.on_head = [&watch](const answer_head& head) { watch.status = head.status; };
+  handlers.on_data = [&watch](std::string_view data) {
+    if (watch.text.size() + data.size() <= max_document_bytes) {
+      watch.text += data;
+    }
+  };
+  handlers.on_end = [&process, &watch](call_end end) { end_watch(process, watch, end); };
+  watch.call = start_call(process.base.get(), call, std::move(handlers));
+}
+
+std::uint64_t parse_count(std::string_view text) {
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+// Reads `key=value` words separated by spaces or newlines.
+std::string_view word_value(std::string_view text, std::string_view key) {
+  std::size_t at = 0;
+  while (at < text.size()) {
+    const std::size_t end = std::min(text.find_first_of(" \n", at), text.size());
+    const std::string_view word = text.substr(at, end - at);
+    if (word.size() > key.size() && word.substr(0, key.size()) == key && word[key.size()] == '=') {
+      return word.substr(key.size() + 1);
+    }
+    at = end + 1;
+  }
+  return {};
+}
+
+void end_load_poll(router_process& process, const target_name& target, call_end end) {
+  std::map<target_name, load_poll>::iterator found = process.polls.find(target);
+  if (found == process.polls.end()) {
+    return;
+  }
+  const load_poll poll = std::move(found->second);
+  process.polls.erase(found);
+  const std::string_view boot_id = word_value(poll.text, "boot_id");
+  if (end != call_end::complete || boot_id.empty()) {
+    return;
+  }
+  load_report report;
+  report.target = target;
+  report.boot_id = std::string(boot_id);
+  report.running = static_cast<std::uint32_t>(parse_count(word_value(poll.text, "running")));
+  report.waiting = static_cast<std::uint32_t>(parse_count(word_value(poll.text, "waiting")));
+  report.completed = parse_count(word_value(poll.text, "completed"));
+  const std::uint64_t age = parse_count(word_value(poll.text, "age_ms"));
+  report.sampled_at = poll.started - std::chrono::milliseconds(age);
+  effects todo;
+  router_on_load_report(process.core, report, current_time(), todo);
+  carry_out(process, todo);
+}
+
+}  // namespace
+
+void keep_watching(router_process& process, instant now) {
+  for (value_watch* watch : {&process.config_watch, &process.list_watch}) {
+    const bool wanted = wants_watch(process.core);
+    if (wanted && watch->call == nullptr && now >= watch->next_try) {
+      start_watch(process, *watch);
+    } else if (!wanted && watch->call != nullptr) {
+      cancel_call(*watch->call);
+      watch->call.reset();
+    }
+  }
+}
+
+void start_load_poll(router_process& process, const target_config& target) {
+  if (process.polls.contains(target.name)) {
+    return;  // the last one has not been answered yet
+  }
+  http_call call;
+  call.address = target.address;
+  call.path = "/load";
+  call.idle_timeout = load_timeout;
+  const target_name name = target.name;
+  call_handlers handlers;
+  handlers.on_head = [](const answer_head&) {};
+  handlers.on_data = [&process, name](std::string_view data) {
+    std::map<target_name, load_poll>::iterator found = process.polls.find(name);
+    if (found != process.polls.end() &&
+        found->second.text.size() + data.size() <= max_load_report_bytes) {
+      found->second.text += data;
+    }
+  };
+  handlers.on_end = [&process, name](call_end end) { end_load_poll(process, name, end); };
+  load_poll& poll = process.polls[name];
+  poll.started = current_time();
+  poll.call = start_call(process.base.get(), call, std::move(handlers));
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/tools/peridot_router_main.cc
@@ -0,0 +1,44 @@
+// peridot_router: one router of the fleet.
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "core/settings.h"
+#include "net/router_process.h"
+
+ABSL_FLAG(std::string, settings, "", "Path of the settings file (TOML). Required.");
+
+namespace {
+
+constexpr int exit_usage = 2;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "Runs one router of the fleet.\n\n  peridot_router --settings=router.toml\n\n"
+      "TERM begins a graceful shutdown; the exit status is 0 if all work has ended.");
+  absl::FlagsUsageConfig usage;
+  usage.version_string = []() { return std::string("peridot_router 0.1.0\n"); };
+  absl::SetFlagsUsageConfig(usage);
+  const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+  const std::string path = absl::GetFlag(FLAGS_settings);
+  if (path.empty() || rest.size() > 1) {
+    std::fprintf(stderr, "peridot_router: --settings=FILE is required, and nothing else.\n");
+    return exit_usage;
+  }
+  const peridot::settings_result loaded = peridot::load_settings(path);
+  for (const peridot::document_error& error : loaded.errors) {
+    std::fprintf(stderr, "peridot_router: %s\n", peridot::to_text(error).c_str());
+  }
+  if (!loaded.errors.empty()) {
+    return exit_usage;
+  }
+  return peridot::run_router(loaded.settings);
+}
