Read and check published configurations and instance lists

Cause: routers and the operators' tool need one verdict on a document. Weighed: walking the TOML library's nodes in each reader against converting to a small tree first. The tree keeps the library in one unit and the readers free of its types. Ruled out: relying on the library's nesting limit alone. Version 3.3 counts arrays and inline tables only, so one line of dotted keys builds a tree as deep as it has dots, and the recursive destructor runs out of stack. Lines are bounded at 1024 bytes and nesting at 4. Two targets or routers of one address are refused as well, since each would be used up to its own limit.

--- /dev/null
+++ b/core/document_reader.cc
@@ -0,0 +1,273 @@
+#include "core/document_reader.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/ip_endpoint.h"
+
+namespace peridot {
+namespace {
+
+// A number as TOML users write it: no trailing zeros.
+std::string number_text(double value) {
+  std::string text = std::to_string(value);
+  text.erase(text.find_last_not_of('0') + 1);
+  if (text.back() == '.') {
+    text.pop_back();
+  }
+  return text;
+}
+
+const document_value& empty_table() {
+  static const document_value table;
+  return table;
+}
+
+}  // namespace
+
+std::string to_text(const document_error& error) {
+  std::string text = error.file;
+  if (error.line != 0) {
+    text += ":" + std::to_string(error.line);
+  }
+  text += ": ";
+  if (!error.key.empty()) {
+    text += error.key + ": ";
+  }
+  return text + error.problem;
+}
+
+void report(error_list& problems, std::size_t line, std::string key, std::string problem) {
+  if (problems.errors.size() < max_document_errors) {
+    problems.errors.push_back({problems.file, line, std::move(key), std::move(problem)});
+  }
+}
+
+void sort_by_line(std::vector<document_error>& errors) {
+  std::stable_sort(errors.begin(), errors.end(),
+                   [](const document_error& left, const document_error& right) {
+                     return left.line < right.line;
+                   });
+}
+
+table_reader root_reader(const document_value& root, error_list& problems) {
+  return {&root, "", &problems, {}};
+}
+
+std::string dotted_key(const table_reader& reader, std::string_view key) {
+  const std::string text = printable(key);
+  return reader.path.empty() ? text : reader.path + "." + text;
+}
+
+std::size_t line_of_key(const table_reader& reader, std::string_view key) {
+  const document_entry* entry = find_entry(*reader.table, key);
+  return entry == nullptr ? reader.table->line : entry->line;
+}
+
+void report_key(const table_reader& reader, std::string_view key, std::string problem) {
+  report(*reader.problems, line_of_key(reader, key), dotted_key(reader, key), std::move(problem));
+}
+
+const document_value* find_value(table_reader& reader, std::string_view key, presence needed,
+                                 value_kind kind) {
+  reader.known_keys.emplace_back(key);
+  const document_entry* entry = find_entry(*reader.table, key);
+  if (entry == nullptr) {
+    if (needed == presence::required) {
+      report_key(reader, key, "is missing");
+    }
+    return nullptr;
+  }
+  if (entry->value.kind != kind) {
+    report_key(reader, key,
+               std::string{"must be "} + to_text(kind) + ", not " + to_text(entry->value.kind));
+    return nullptr;
+  }
+  return &entry->value;
+}
+
+void read_boolean(table_reader& reader, std::string_view key, bool& output) {
+  const document_value* value = find_value(reader, key, presence::optional, value_kind::boolean);
+  if (value != nullptr) {
+    output = value->boolean;
+  }
+}
+
+void read_name(table_reader& reader, std::string_view key, presence needed, std::string& output) {
+  const document_value* value = find_value(reader, key, needed, value_kind::text);
+  if (value == nullptr) {
+    return;
+  }
+  if (!is_valid_name(value->text)) {
+    report_key(reader, key,
+               "must have 1 to " + std::to_string(max_name_bytes) +
+                   " bytes, no control characters and no space at either end");
+    return;
+  }
+  output = value->text;
+}
+
+void read_endpoint(table_reader& reader, std::string_view key, presence needed,
+                   std::string& output) {
+  const document_value* value = find_value(reader, key, needed, value_kind::text);
+  if (value == nullptr) {
+    return;
+  }
+  std::string problem = endpoint_problem(value->text);
+  if (!problem.empty()) {
+    report_key(reader, key, std::move(problem));
+    return;
+  }
+  output = value->text;
+}
+
+void read_secret(table_reader& reader, std::string_view key, value_range<std::size_t> length,
+                 std::string& output) {
+  const document_value* value = find_value(reader, key, presence::required, value_kind::text);
+  if (value == nullptr) {
+    return;
+  }
+  if (value->text.size() < length.least || value->text.size() > length.most) {
+    report_key(reader, key,
+               "must have " + std::to_string(length.least) + " to " + std::to_string(length.most) +
+                   " bytes, has " + std::to_string(value->text.size()));
+    return;
+  }
+  output = value->text;
+}
+
+void read_number(table_reader& reader, std::string_view key, value_range<double> range,
+                 double& output) {
+  const document_entry* entry = find_entry(*reader.table, key);
+  const bool is_integer = entry != nullptr && entry->value.kind == value_kind::integer;
+  const document_value* value = find_value(reader, key, presence::optional,
+                                           is_integer ? value_kind::integer : value_kind::floating);
+  if (value == nullptr) {
+    return;
+  }
+  const double number = is_integer ? static_cast<double>(value->integer) : value->floating;
+  if (!std::isfinite(number) || number < range.least || number > range.most) {
+    report_key(reader, key,
+               "must be from " + number_text(range.least) + " to " + number_text(range.most));
+    return;
+  }
+  output = number;
+}
+
+void read_milliseconds(table_reader& reader, std::string_view key,
+                       value_range<std::chrono::milliseconds> range,
+                       std::chrono::milliseconds& output) {
+  std::int64_t count = 0;
+  if (read_signed(reader, key, presence::optional, {range.least.count(), range.most.count()},
+                  count)) {
+    output = std::chrono::milliseconds{count};
+  }
+}
+
+bool read_signed(table_reader& reader, std::string_view key, presence needed,
+                 value_range<std::int64_t> range, std::int64_t& output) {
+  const document_value* value = find_value(reader, key, needed, value_kind::integer);
+  if (value == nullptr) {
+    return false;
+  }
+  if (value->integer < range.least || value->integer > range.most) {
+    report_key(reader, key,
+               "must be from " + std::to_string(range.least) + " to " + std::to_string(range.most));
+    return false;
+  }
+  output = value->integer;
+  return true;
+}
+
+std::vector<table_reader> read_tables(table_reader& reader, std::string_view key,
+                                      std::size_t most) {
+  std::vector<table_reader> result;
+  const document_value* section = find_value(reader, key, presence::optional, value_kind::array);
+  if (section == nullptr) {
+    return result;
+  }
+  if (section->elements.size() > most) {
+    report_key(reader, key,
+               "has " + std::to_string(section->elements.size()) + " tables, at most " +
+                   std::to_string(most) + " are allowed");
+    return result;
+  }
+  for (std::size_t index = 0; index < section->elements.size(); ++index) {
+    const document_value& element = section->elements[index];
+    std::string path = dotted_key(reader, key) + "[" + std::to_string(index) + "]";
+    if (element.kind != value_kind::table) {
+      report(*reader.problems, element.line, std::move(path),
+             std::string{"must be a table, not "} + to_text(element.kind));
+      continue;
+    }
+    result.push_back({&element, std::move(path), reader.problems, {}});
+  }
+  return result;
+}
+
+table_reader read_table(table_reader& reader, std::string_view key) {
+  const document_value* section = find_value(reader, key, presence::optional, value_kind::table);
+  return {
+      section == nullptr ? &empty_table() : section, dotted_key(reader, key), reader.problems, {}};
+}
+
+std::vector<std::string> read_endpoints(table_reader& reader, std::string_view key,
+                                        std::size_t most) {
+  std::vector<std::string> result;
+  const document_value* list = find_value(reader, key, presence::optional, value_kind::array);
+  if (list == nullptr) {
+    return result;
+  }
+  if (list->elements.size() > most) {
+    report_key(reader, key, "must have at most " + std::to_string(most) + " addresses");
+    return result;
+  }
+  for (std::size_t index = 0; index < list->elements.size(); ++index) {
+    const document_value& element = list->elements[index];
+    std::string problem;
+    if (element.kind != value_kind::text) {
+      problem = std::string{"must be a string, not "} + to_text(element.kind);
+    } else if (std::find(result.begin(), result.end(), element.text) != result.end()) {
+      problem = "repeats an address";
+    } else {
+      problem = endpoint_problem(element.text);
+    }
+    if (problem.empty()) {
+      result.push_back(element.text);
+      continue;
+    }
+    report(*reader.problems, element.line,
+           dotted_key(reader, key) + "[" + std::to_string(index) + "]", std::move(problem));
+  }
+  return result;
+}
+
+void check_unknown_keys(const table_reader& reader) {
+  std::string known;
+  for (const std::string& key : reader.known_keys) {
+    known += (known.empty() ? "" : ", ") + key;
+  }
+  for (const document_entry& entry : reader.table->entries) {
+    auto found = std::find(reader.known_keys.begin(), reader.known_keys.end(), entry.key);
+    if (found == reader.known_keys.end()) {
+      report(*reader.problems, entry.line, dotted_key(reader, entry.key),
+             "unknown key; known are: " + known);
+    }
+  }
+}
+
+void check_unique(const table_reader& reader, std::string_view key, const std::string& value,
+                  first_lines& seen) {
+  if (value.empty()) {
+    return;
+  }
+  const std::size_t line = line_of_key(reader, key);
+  auto [first, inserted] = seen.emplace(value, line);
+  if (!inserted) {
+    report_key(
+        reader, key,
+        "\"" + printable(value) + "\" is already used on line " + std::to_string(first->second));
+  }
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/core/document_tree.h
@@ -0,0 +1,64 @@
+// A TOML document as a tree of typed values, each with the line it stands on.
+//
+// Keeps the TOML library in one unit: what reads documents works on this tree.
+//
+// Bounds: the text is at most max_document_bytes, a line at most
+// max_document_line_bytes, and arrays and inline tables nest at most
+// max_document_nesting deep. The last two bound the depth of the tree, which a
+// line of dotted keys would otherwise make as deep as the line has dots, and so
+// the stack that the recursion over it takes.
+//
+// Thread safety: pure functions.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/config_checker.h"
+
+namespace peridot {
+
+inline constexpr std::size_t max_document_line_bytes = 1'024;
+inline constexpr std::size_t max_document_nesting = 4;
+
+enum class value_kind { text, integer, floating, boolean, date_or_time, array, table };
+
+// "a string", "an integer", ...
+const char* to_text(value_kind kind);
+
+struct document_entry;
+
+// One value. Only the field that belongs to `kind` is set.
+struct document_value {
+  value_kind kind = value_kind::table;
+  std::size_t line = 0;  // 1-based
+  std::string text;
+  std::int64_t integer = 0;
+  double floating = 0;
+  bool boolean = false;
+  std::vector<document_value> elements;  // of an array
+  std::vector<document_entry> entries;   // of a table, sorted by key
+};
+
+struct document_entry {
+  std::string key;
+  std::size_t line = 0;
+  document_value value;
+};
+
+// The root table, or nothing and one error.
+struct tree_result {
+  std::optional<document_value> root;
+  std::vector<document_error> errors;
+};
+
+tree_result parse_document_tree(std::string_view text, std::string_view file);
+
+// The entry of a table, null if there is none.
+const document_entry* find_entry(const document_value& table, std::string_view key);
+
+}  // namespace peridot
