--- a/core/document_tree.cc
+++ b/core/document_tree.cc
@@ -1,16 +1,40 @@
-// The only unit that includes the TOML library. Its parse errors and its node
-// types end here.
+// The only unit that includes the TOML library. Its parse errors, its assertions
+// and its node types end here.
+//
+// The parser of the library asserts what bad input can violate, e.g. a table
+// header that does not start with a key. Bad input must not end the process, and
+// with NDEBUG the same expressions are assumptions of the optimizer. So an
+// assertion throws here, and the document is refused. It carries no position; the
+// line is found by bisection over the prefixes of the document, at most 20 more
+// parses of a text of max_document_bytes.
 #include "core/document_tree.h"
 
 #include <algorithm>
 
+#include "core/name_text.h"
+
+namespace peridot {
+namespace {
+
+// Thrown in place of an assertion of the TOML library.
+struct parser_assertion {};
+
+constexpr void assert_in_parser(bool holds) {
+  if (!holds) {
+    throw parser_assertion{};
+  }
+}
+
+}  // namespace
+}  // namespace peridot
+
+#undef NDEBUG
 #define TOML_HEADER_ONLY 1
 #define TOML_ENABLE_FORMATTERS 0
 #define TOML_MAX_NESTED_VALUES 4
+#define TOML_ASSERT(expression) ::peridot::assert_in_parser(static_cast<bool>(expression))
 #include <toml++/toml.h>
 
-#include "core/name_text.h"
-
 namespace peridot {
 namespace {
 
@@ -91,6 +115,40 @@
   return 0;
 }
 
+// Byte after each line of the text.
+std::vector<std::size_t> line_ends(std::string_view text) {
+  std::vector<std::size_t> ends;
+  for (std::size_t index = 0; index < text.size(); ++index) {
+    if (text[index] == '\n' || index + 1 == text.size()) {
+      ends.push_back(index + 1);
+    }
+  }
+  return ends;
+}
+
+bool violates_assertion(std::string_view text) {
+  try {
+    const toml::table ignored = toml::parse(text);
+  } catch (const toml::parse_error&) {
+    return false;
+  } catch (const parser_assertion&) {
+    return true;
+  }
+  return false;
+}
+
+// 1-based number of the line whose parsing violates an assertion. Precondition:
+// parsing the whole text does. The parser reads forwards, so that prefixes which
+// hold the line violate it and shorter ones do not.
+std::size_t asserting_line(std::string_view text) {
+  const std::vector<std::size_t> ends = line_ends(text);
+  auto found = std::partition_point(ends.begin(), ends.end(), [text](std::size_t end) {
+    return !violates_assertion(text.substr(0, end));
+  });
+  const std::size_t line = static_cast<std::size_t>(found - ends.begin()) + 1;
+  return std::min(line, ends.size());
+}
+
 tree_result refusal_of(std::string_view file, std::size_t line, std::string problem) {
   tree_result result;
   result.errors.push_back({std::string{file}, line, "", std::move(problem)});
@@ -139,6 +197,8 @@
   } catch (const toml::parse_error& error) {
     return refusal_of(file, line_of(error.source()),
                       "not valid TOML: " + printable(error.description()));
+  } catch (const parser_assertion&) {
+    return refusal_of(file, asserting_line(text), "not valid TOML: a key or value is expected");
   }
 }
 
