--- a/core/router.cc
+++ b/core/router.cc
@@ -3,6 +3,7 @@
 #include "core/router.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "core/check.h"
@@ -49,6 +50,20 @@
   return record(core.events, std::move(event), now, std::chrono::system_clock::now());
 }
 
+std::uint64_t note_caused(router_core& core, timeline_event event,
+                          const wire::peer_message& message, instant now) {
+  event.cause_process = message.from_name();
+  event.cause_sequence = message.event_sequence();
+  return note(core, std::move(event), now);
+}
+
+std::string request_text(const router_core& core, std::uint64_t request) {
+  std::ostringstream text;
+  text << core.options.name << "-" << std::hex << core.options.self.incarnation << std::dec << "-"
+       << request;
+  return text.str();
+}
+
 router_core make_router(const router_options& options, instant now) {
   router_core core;
   core.options = options;
@@ -80,7 +95,7 @@
   const submit_result result = submit(core.entry, request, context, now);
   timeline_event event;
   event.kind = result.accepted ? event_kind::request_queued : event_kind::request_refused;
-  event.request = std::to_string(result.id);
+  event.request = request_text(core, result.id);
   event.organisation = request.organisation;
   event.detail = result.accepted ? "profile=" + request.profile.value : to_text(result.why);
   note(core, std::move(event), now);
@@ -93,7 +108,7 @@
                                const target_result& result, instant now, effects& todo) {
   const std::map<std::uint64_t, request_row>::iterator row = core.entry.requests.find(request);
   timeline_event event;
-  event.request = std::to_string(request);
+  event.request = request_text(core, request);
   if (row != core.entry.requests.end()) {
     event.organisation = row->second.organisation;
     if (row->second.running) {
@@ -120,7 +135,7 @@
   cancel(core.entry, request, cost, make_entry_context(core), now, todo.messages);
   timeline_event event;
   event.kind = event_kind::request_finished;
-  event.request = std::to_string(request);
+  event.request = request_text(core, request);
   event.detail = "caller_gone";
   note(core, std::move(event), now);
   deliver_to_self(core, now, todo);
--- a/core/router.h
+++ b/core/router.h
@@ -77,7 +77,6 @@
   std::map<target_name, instant> next_load_poll;
   std::map<router_address, instant> asked_document;  // last request to a peer
   std::vector<document_error> refused_config;        // of the newest document that was refused
-  std::uint64_t now_wall_offset_us = 0;
   bool stopping = false;
 };
 
@@ -90,6 +89,9 @@
 void router_on_message(router_core& core, const router_identity& from,
                        const wire::peer_message& message, instant now, effects& todo);
 
+// Name of a request in answers, logs and time lines; unique in the fleet.
+std::string request_text(const router_core& core, std::uint64_t request);
+
 submit_result router_submit(router_core& core, const new_request& request, instant now,
                             effects& todo);
 decision router_on_target_done(router_core& core, std::uint64_t request,
--- a/core/router_internal.h
+++ b/core/router_internal.h
@@ -24,6 +24,10 @@
 // Records an event in the time line and returns its sequence number.
 std::uint64_t note(router_core& core, timeline_event event, instant now);
 
+// The same, for an event that follows from a peer's message.
+std::uint64_t note_caused(router_core& core, timeline_event event,
+                          const wire::peer_message& message, instant now);
+
 // Grants free slots of the held shards.
 void schedule(router_core& core, instant now, effects& todo);
 
--- a/core/router_messages.cc
+++ b/core/router_messages.cc
@@ -14,37 +14,38 @@
 constexpr int max_self_rounds = 10'000;
 
 void handle_heartbeat(router_core& core, const router_identity& from,
-                      const wire::heartbeat& message, instant now, effects& todo) {
-  const heartbeat_effect effect = on_heartbeat(core.members, from, message, now);
-  on_suspects(core.entry, from.address, message.suspects(), now);
+                      const wire::peer_message& message, instant now, effects& todo) {
+  const heartbeat_effect effect = on_heartbeat(core.members, from, message.heartbeat(), now);
+  on_suspects(core.entry, from.address, message.heartbeat().suspects(), now);
   if (effect == heartbeat_effect::known) {
     return;
   }
   const bool restarted = effect == heartbeat_effect::restarted;
-  note(core,
-       {.kind = restarted ? event_kind::peer_restarted : event_kind::peer_alive,
-        .peer = from.address.value},
-       now);
+  note_caused(core,
+              {.kind = restarted ? event_kind::peer_restarted : event_kind::peer_alive,
+               .peer = from.address.value},
+              message, now);
   if (restarted) {
     on_peer_gone(core.scheduler, from.address, now);
   }
   send_heartbeats(core.members, fleet_of(core), make_local_status(core, now), now, todo.messages);
 }
 
-void handle_grant(router_core& core, const router_identity& from, const wire::grant& message,
+void handle_grant(router_core& core, const router_identity& from, const wire::peer_message& message,
                   instant now, effects& todo) {
+  const wire::grant& offer = message.grant();
   const std::optional<dispatch> started =
-      on_grant(core.entry, from, message, make_entry_context(core), now, todo.messages);
+      on_grant(core.entry, from, offer, make_entry_context(core), now, todo.messages);
   timeline_event event;
   event.kind = started ? event_kind::request_dispatched : event_kind::grant_returned;
-  event.organisation = organisation_name{message.organisation()};
-  event.target = target_name{message.target()};
+  event.organisation = organisation_name{offer.organisation()};
+  event.target = target_name{offer.target()};
   event.peer = from.address.value;
   if (started) {
-    event.request = std::to_string(started->request);
+    event.request = request_text(core, started->request);
     todo.dispatches.push_back(*started);
   }
-  note(core, std::move(event), now);
+  note_caused(core, std::move(event), message, now);
 }
 
 void handle_document_request(const router_core& core, const router_identity& from,
@@ -85,7 +86,7 @@
                     const wire::peer_message& message, instant now, effects& todo) {
   switch (message.body_case()) {
     case wire::peer_message::kHeartbeat:
-      handle_heartbeat(core, from, message.heartbeat(), now, todo);
+      handle_heartbeat(core, from, message, now, todo);
       return;
     case wire::peer_message::kDocumentRequest:
       handle_document_request(core, from, message.document_request(), todo);
@@ -109,7 +110,7 @@
       on_lease_reply(core.claims, make_lease_context(core), from, message.lease_reply(), now);
       return;
     case wire::peer_message::kGrant:
-      handle_grant(core, from, message.grant(), now, todo);
+      handle_grant(core, from, message, now, todo);
       return;
     case wire::peer_message::kDemand:
     case wire::peer_message::kFinish:
--- a/core/router_tick.cc
+++ b/core/router_tick.cc
@@ -129,6 +129,18 @@
   }
 }
 
+void note_grants(router_core& core, const outbox& messages, std::size_t first, instant now) {
+  for (std::size_t index = first; index < messages.size(); ++index) {
+    const wire::grant& grant = messages[index].message.grant();
+    timeline_event event;
+    event.kind = event_kind::grant_sent;
+    event.organisation = organisation_name{grant.organisation()};
+    event.target = target_name{grant.target()};
+    event.peer = messages[index].to.value;
+    note(core, std::move(event), now);
+  }
+}
+
 }  // namespace
 
 void schedule(router_core& core, instant now, effects& todo) {
@@ -139,7 +151,9 @@
       usable.push_back({shard, held_until(core.claims, leases, shard)});
     }
   }
+  const std::size_t before = todo.messages.size();
   grant_slots(core.scheduler, usable, make_scheduler_context(core), now, todo.messages);
+  note_grants(core, todo.messages, before, now);
 }
 
 void router_tick(router_core& core, instant now, effects& todo) {
--- a/net/runs.cc
+++ b/net/runs.cc
@@ -23,11 +23,6 @@
   return found == process.calls.end() ? nullptr : found->second.get();
 }
 
-std::string request_id(const router_process& process, const caller_call& call) {
-  return process.settings.name + "-" + std::to_string(process.core.options.self.incarnation) + "-" +
-         std::to_string(call.id);
-}
-
 service_units measured_cost(const caller_call& call, instant now) {
   const std::string_view stated = find_header(call.head.headers, "X-Service-Units");
   if (!stated.empty()) {
@@ -68,7 +63,7 @@
 
 std::vector<http_header> answer_headers(const router_process& process, const caller_call& call) {
   std::vector<http_header> headers = {{header_outcome, "done"},
-                                      {header_request_id, request_id(process, call)},
+                                      {header_request_id, request_text(process.core, call.id)},
                                       {"X-Target", call.where.target.value}};
   for (const char* name : {"Content-Type", "X-Total-Tokens", "X-Prompt-Hash", "X-Service-Units"}) {
     const std::string_view value = find_header(call.head.headers, name);
@@ -143,7 +138,7 @@
 // True if the answer is to be relayed: whole by its framing, and to this request.
 bool is_relayable(const router_process& process, const caller_call& call) {
   const std::string_view echoed = find_header(call.head.headers, header_request_id);
-  const bool own = echoed.empty() || echoed == request_id(process, call);
+  const bool own = echoed.empty() || echoed == request_text(process.core, call.id);
   const bool status = is_success(call.head.status) || is_callers_fault(call.head.status);
   return own && call.head.framed && status;
 }
@@ -214,7 +209,7 @@
     return;
   }
   log_line(log_part::target, log_level::warn,
-           "Run ended early. request=" + std::to_string(id) +
+           "Run ended early. request=" + request_text(process.core, id) +
                " target=" + call->where.target.value + " end=" +
                (end == call_end::refused ? "refused"
                 : end == call_end::lost  ? "lost"
@@ -256,7 +251,7 @@
   result.method = http_method::post;
   result.path = profile.path;
   result.headers = call.headers;
-  result.headers.push_back({header_request_id, request_id(process, call)});
+  result.headers.push_back({header_request_id, request_text(process.core, call.id)});
   result.headers.push_back({"X-Organisation", call.organisation.value});
   result.headers.push_back({"X-Fencing", std::to_string(call.where.fencing)});
   if (!call.key_text.empty()) {
