--- a/standins/engine_standin_main.cc
+++ b/standins/engine_standin_main.cc
@@ -177,7 +177,9 @@
 }
 
 void start_answer(const engine& self, const engine_call& call, evhtp_request_t* request) {
-  add_reply_header(request, "X-Request-Id", call.request_id);
+  if (!call.request_id.empty()) {
+    add_reply_header(request, "X-Request-Id", call.request_id);
+  }
   add_reply_header(request, "X-Boot-Id", self.table.boot_id);
   add_reply_header(request, "X-Prompt-Hash", hash_text(call.prompt_hash));
   add_reply_header(request, "X-Total-Tokens", std::to_string(call.tokens));
