Queue, dispatch, retry and refuse requests in the entry router

Cause: the entry side had an interface and no implementation.

Interface: queues carry a solo flag; a run has a number, which the report of its end may repeat; the context may carry the instance list, so that a target that the list shows leaving gets no new work; suspects are keyed by organisation and each router's word has its own expiry.

--- a/core/entry.h
+++ b/core/entry.h
@@ -25,6 +25,7 @@
 //   - A grant is used only while it is valid: valid_for counts from the sending
 //     time of the demand that it echoes, on this router's own clock, so that a
 //     grant which was delayed anywhere is void. It is returned otherwise.
+//   - A grant starts one request, also if its message arrives twice.
 //
 // Requests that crash targets. A request whose target is lost while it runs
 // becomes a suspect by fingerprint (organisation and body). A suspect with one
@@ -34,7 +35,10 @@
 // for one organisation, oldest dropped first, so a flood harms nobody else.
 //
 // Budgets: `max_queued` requests in all, `organisation_config::max_queued` each;
-// beyond them a refusal says when to come back.
+// beyond them a refusal says when to come back. As the router's queue fills, the
+// limit of each organisation shrinks with the room that is left, so that one
+// organisation cannot take all of it. A retry is queued without these limits:
+// it held a slot of a target before, so their number is bounded by the slots.
 //
 // Thread safety: none; one loop owns the table.
 #pragma once
@@ -44,6 +48,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,8 +62,13 @@
 inline constexpr std::uint32_t max_crashes = 2;
 inline constexpr std::size_t max_suspects_per_organisation = 64;
 inline constexpr std::size_t max_suspects = 4096;
+inline constexpr std::size_t max_suspects_per_heartbeat = 256;
+inline constexpr std::chrono::hours longest_suspect_life{24};  // that a peer is believed
 inline constexpr double retry_budget_share = 0.1;  // retries per first try, per organisation
 inline constexpr double retry_budget_burst = 10;   // retries
+inline constexpr std::size_t max_remembered_grants = 16'384;
+inline constexpr std::size_t max_cost_estimates = 4096;
+inline constexpr std::size_t max_queue_rates = 4096;
 
 struct new_request {
   organisation_name organisation;
@@ -88,9 +98,16 @@
   bool solo = false;             // must run alone on a target
   std::uint32_t dispatches = 0;  // that reached, or may have reached, a target
   std::uint32_t retries = 0;
+  std::uint32_t max_retries = 0;
+  std::chrono::milliseconds longest_wait{0};  // for a target, each time it is queued
+  std::chrono::milliseconds run_timeout{0};
   instant arrived{};
   instant queued{};
   instant start_before{};
+  refusal expires_as = refusal::deadline;   // why it is refused at start_before
+  outcome earlier_runs = outcome::not_run;  // what earlier dispatches came to
+  bool earned_retry = false;                // its first try was added to the retry budget
+  std::uint64_t run = 0;                    // number of the current run; table-wide
   std::optional<placement> running;
   instant started{};
   service_units estimated = 0;
@@ -100,17 +117,59 @@
   pool_name pool;
   organisation_name organisation;
   traffic_class priority = traffic_class::standard;
+  bool solo = false;  // suspects queue apart, so that they block nobody
   friend auto operator<=>(const queue_key&, const queue_key&) = default;
   friend bool operator==(const queue_key&, const queue_key&) = default;
 };
 
-// One fingerprint. `seen_by` holds crashes by the router that saw them.
-struct suspect_row {
+// Speed of one queue: grants and the time during which it had requests waiting,
+// both decayed by that same time. Their quotient is the rate while backlogged.
+struct queue_rate {
+  double grants = 0;
+  double backlogged_seconds = 0;
+  instant updated{};
+};
+
+struct cost_key {
   organisation_name organisation;
-  std::map<router_address, std::uint32_t> seen_by;
+  profile_name profile;
+  friend auto operator<=>(const cost_key&, const cost_key&) = default;
+  friend bool operator==(const cost_key&, const cost_key&) = default;
+};
+
+struct cost_estimate {
+  service_units average = 0;
+  instant updated{};
+};
+
+// Crashes that one router saw. Each router's word lives as long as that router
+// says; it is never passed on by others, so that no echo keeps it alive.
+struct crash_count {
+  std::uint32_t crashes = 0;
   instant expires{};
 };
 
+// One fingerprint. `expires` is the latest of its counts.
+struct suspect_row {
+  std::map<router_address, crash_count> seen_by;
+  instant expires{};
+};
+
+struct suspect_deadline {
+  instant at{};
+  organisation_name organisation;
+  std::uint64_t fingerprint = 0;
+  friend auto operator<=>(const suspect_deadline&, const suspect_deadline&) = default;
+  friend bool operator==(const suspect_deadline&, const suspect_deadline&) = default;
+};
+
+// Keyed by organisation first: equal fingerprints of two organisations are two
+// suspects. `deadlines` has one entry for each row, at its `expires`.
+struct suspect_table {
+  std::map<organisation_name, std::map<std::uint64_t, suspect_row>> rows;
+  std::set<suspect_deadline> deadlines;
+};
+
 struct organisation_row {
   std::size_t queued = 0;
   double retry_tokens = retry_budget_burst;
@@ -123,25 +182,56 @@
   std::vector<router_address> told;  // owners that were sent a demand that was not empty
 };
 
+// A grant, unique in the fleet.
+struct grant_key {
+  router_identity owner;
+  std::uint64_t id = 0;
+  friend auto operator<=>(const grant_key&, const grant_key&) = default;
+  friend bool operator==(const grant_key&, const grant_key&) = default;
+};
+
+// Grants that were seen and could still be valid if their message came again.
+struct grant_expiry {
+  grant_key grant;
+  instant expires{};
+};
+
+struct grant_memory {
+  std::set<grant_key> seen;
+  std::deque<grant_expiry> by_arrival;
+};
+
+struct queue_deadline {
+  instant at{};
+  std::uint64_t request = 0;
+  friend auto operator<=>(const queue_deadline&, const queue_deadline&) = default;
+  friend bool operator==(const queue_deadline&, const queue_deadline&) = default;
+};
+
 struct entry_table {
   std::uint64_t next_id = 1;
+  std::uint64_t next_run = 1;
   std::size_t max_queued = 4096;
   std::size_t queued = 0;
   bool stopping = false;  // submit refuses with refusal::stopping
   std::map<std::uint64_t, request_row> requests;
-  std::map<queue_key, std::deque<std::uint64_t>> queues;
-  std::map<queue_key, double> grants_per_second;  // moving average
-  std::map<queue_key, instant> last_grant;
+  std::map<queue_key, std::deque<std::uint64_t>> queues;  // none is empty
+  std::set<queue_deadline> deadlines;                     // of each queued request
+  std::map<grant_key, std::uint64_t> running;             // request that uses the grant
+  grant_memory grants;
+  std::map<queue_key, queue_rate> rates;
   std::map<organisation_name, organisation_row> organisations;
-  std::map<std::pair<organisation_name, profile_name>, service_units> average_cost;
-  std::map<std::uint64_t, suspect_row> suspects;
-  std::map<pool_name, pool_demand> demands;
+  std::map<cost_key, cost_estimate> costs;
+  suspect_table suspects;
+  std::map<pool_name, pool_demand> demands;  // pools with something queued, or with owners to tell
+  std::optional<instant> first_demand;       // sent by this table
 };
 
 struct entry_context {
   const published_config& config;
   const membership_table& members;
   const std::vector<shard_key>& own_shards;  // held by this router
+  const instance_list* list = nullptr;       // null before one has been received
 };
 
 struct submit_result {
@@ -161,7 +251,8 @@
 struct dispatch {
   std::uint64_t request = 0;
   placement where;
-  instant run_until{};  // run_timeout of the profile
+  instant run_until{};    // run_timeout of the profile
+  std::uint64_t run = 0;  // to be repeated in the target_result
 };
 
 // Uses the grant for the head of its queue, or returns it through `out`.
@@ -176,6 +267,7 @@
   std::string boot_id;          // of the target, if seen
   bool answer_begun = false;    // a byte of the answer has reached the caller
   refusal why = refusal::none;  // for the caller, if this is final
+  std::uint64_t run = 0;        // dispatch::run; 0 stands for the current run
 };
 
 // What to do with the request after a run, or when it ran out of time.
@@ -188,8 +280,8 @@
 };
 
 // Reports the end to the owner through `out`, learns cost and suspects. The
-// request is removed from the table unless it is queued again. An id that is
-// not running (a late or doubled report) gives kind::none and changes nothing.
+// request is removed from the table unless it is queued again. A run that is not
+// the current one (a late or doubled report) gives kind::none and changes nothing.
 decision on_target_done(entry_table& table, std::uint64_t request, const target_result& result,
                         const entry_context& context, instant now, outbox& out);
 
@@ -212,15 +304,16 @@
 void send_changed_demands(entry_table& table, const entry_context& context, instant now,
                           outbox& out);
 
-// Suspects to be put into heartbeats (what this router itself saw), and those
-// heard from a peer.
+// Suspects to be put into heartbeats (what this router itself saw, the newest
+// max_suspects_per_heartbeat), and those heard from a peer.
 std::vector<wire::suspect> own_suspects(const entry_table& table, const router_address& self,
                                         instant now);
 void on_suspects(entry_table& table, const router_address& from,
                  const google::protobuf::RepeatedPtrField<wire::suspect>& suspects, instant now);
 
 // Empties the queues when this router stops: every queued request that was never
-// dispatched gets a true `not_run`.
+// dispatched gets a true `not_run`, the others what their earlier runs came to.
+// Runs that end later may queue requests again: call it until none is running.
 std::vector<decision> refuse_queued(entry_table& table, refusal why, instant now);
 
 }  // namespace peridot
