--- a/core/config_sections.cc
+++ b/core/config_sections.cc
@@ -50,10 +50,19 @@
   }
 }
 
+// The path at the target must be one word that starts with a slash.
+void check_path(const table_reader& reader, const std::string& path) {
+  if (!path.starts_with('/') || path.find_first_of(" ?#") != std::string::npos) {
+    report_key(reader, "path", "must start with '/' and hold no space, '?' or '#'");
+  }
+}
+
 profile_config read_profile(table_reader& reader) {
   profile_config profile;
   read_name(reader, "name", presence::required, profile.name.value);
   read_name(reader, "pool", presence::required, profile.pool.value);
+  read_name(reader, "path", presence::optional, profile.path);
+  check_path(reader, profile.path);
   read_choice(reader, "class", classes, profile.priority);
   read_milliseconds(reader, "queue_deadline_ms", deadline_range, profile.queue_deadline);
   read_milliseconds(reader, "run_timeout_ms", {milliseconds{1}, day_range.most},
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/check.h"
+#include "core/ip_endpoint.h"
 
 namespace peridot {
 namespace {
@@ -95,7 +96,8 @@
 
 std::shared_ptr<client_call> start_call(event_base* base, const http_call& call,
                                         call_handlers handlers) {
-  const ip_endpoint endpoint = parse_endpoint(call.address);
+  const std::optional<ip_endpoint> endpoint = parse_ip_endpoint(call.address);
+  PERIDOT_CHECK(endpoint.has_value(), "an address was not checked before it is called");
   std::shared_ptr<client_call> handle = std::make_shared<client_call>();
   handle->base = base;
   handle->handlers = std::move(handlers);
@@ -104,7 +106,7 @@
   PERIDOT_CHECK(stream != nullptr, "out of memory for a connection");
   evbuffer_add_cb(bufferevent_get_output(stream), on_output_changed, handle.get());
   handle->connection = evhttp_connection_base_bufferevent_new(base, nullptr, stream,
-                                                              endpoint.host.c_str(), endpoint.port);
+                                                              endpoint->ip.c_str(), endpoint->port);
   const timeval idle = to_timeval(call.idle_timeout);
   evhttp_connection_set_timeout_tv(handle->connection, &idle);
   evhttp_connection_set_max_body_size(handle->connection,
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "core/check.h"
+#include "core/ip_endpoint.h"
 
 namespace peridot {
 namespace {
@@ -109,7 +110,7 @@
 
 // Called by the library once a whole request has arrived.
 void on_request(evhtp_request_t* request, void* argument) {
-  http_server& server = *static_cast<http_server*>(argument);
+  http_listener& server = *static_cast<http_listener*>(argument);
   std::shared_ptr<server_exchange> exchange = read_request(server.base, request);
   exchange_holder* holder = new exchange_holder{exchange};
   evhtp_request_set_hook(request, evhtp_hook_on_request_fini, as_hook(on_request_fini), holder);
@@ -123,7 +124,7 @@
 }
 
 evhtp_res on_headers(evhtp_request_t* request, evhtp_headers_t* headers, void* argument) {
-  const http_server& server = *static_cast<const http_server*>(argument);
+  const http_listener& server = *static_cast<const http_listener*>(argument);
   std::size_t bytes = 0;
   for (evhtp_kv_t* entry = headers->tqh_first; entry != nullptr; entry = entry->next.tqe_next) {
     bytes += entry->klen + entry->vlen;
@@ -133,14 +134,14 @@
 }
 
 evhtp_res on_connection_fini(evhtp_connection_t*, void* argument) {
-  http_server& server = *static_cast<http_server*>(argument);
+  http_listener& server = *static_cast<http_listener*>(argument);
   PERIDOT_CHECK(server.connections > 0, "connections are counted wrongly");
   --server.connections;
   return EVHTP_RES_OK;
 }
 
 evhtp_res on_accept(evhtp_connection_t* connection, void* argument) {
-  http_server& server = *static_cast<http_server*>(argument);
+  http_listener& server = *static_cast<http_listener*>(argument);
   if (server.connections >= server.options.max_connections) {
     return EVHTP_RES_ERROR;
   }
@@ -160,10 +161,10 @@
 
 }  // namespace
 
-leaf::result<std::unique_ptr<http_server>> start_server(event_base* base,
-                                                        const server_options& options,
-                                                        exchange_handler handler) {
-  std::unique_ptr<http_server> server = std::make_unique<http_server>();
+leaf::result<std::unique_ptr<http_listener>> start_server(event_base* base,
+                                                          const server_options& options,
+                                                          exchange_handler handler) {
+  std::unique_ptr<http_listener> server = std::make_unique<http_listener>();
   server->base = base;
   server->options = options;
   server->handler = std::move(handler);
@@ -176,11 +177,11 @@
   const timeval read = to_timeval(options.read_timeout);
   const timeval write = to_timeval(options.write_timeout);
   evhtp_set_timeouts(server->library, &read, &write);
-  const ip_endpoint endpoint = parse_endpoint(options.address);
-  const std::string host =
-      endpoint.host.find(':') == std::string::npos ? endpoint.host : "ipv6:" + endpoint.host;
+  const std::optional<ip_endpoint> endpoint = parse_ip_endpoint(options.address);
+  PERIDOT_CHECK(endpoint.has_value(), "an address was not checked before it is bound");
+  const std::string host = (endpoint->v6 ? "ipv6:" : "") + endpoint->ip;
   constexpr int backlog = 1024;
-  if (evhtp_bind_socket(server->library, host.c_str(), endpoint.port, backlog) != 0) {
+  if (evhtp_bind_socket(server->library, host.c_str(), endpoint->port, backlog) != 0) {
     const std::string cause = std::strerror(errno);
     evhtp_free(server->library);
     return setup_error("bind", options.address, cause);
@@ -188,10 +189,6 @@
   return server;
 }
 
-void stop_listening(http_server& server) {
-  evhtp_unbind_socket(server.library);
-}
-
 void reply(server_exchange& exchange, int status, const std::vector<http_header>& headers,
            std::string_view body) {
   evhtp_request_t* request = exchange.request;
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -3,7 +3,7 @@
 // Each complete request becomes a `server_exchange`, handed to one function. The
 // answer may come at any later time, whole or streamed:
 //
-//   leaf::result<std::unique_ptr<http_server>> server = start_server(base, options, handle);
+//   leaf::result<std::unique_ptr<http_listener>> server = start_server(base, options, handle);
 //   void handle(const std::shared_ptr<server_exchange>& exchange) {
 //     reply(*exchange, 200, {{"Content-Type", "text/plain"}}, "ok\n");
 //   }
@@ -59,7 +59,7 @@
 
 using exchange_handler = std::function<void(const std::shared_ptr<server_exchange>&)>;
 
-struct http_server {
+struct http_listener {
   event_base* base = nullptr;
   server_options options;
   exchange_handler handler;
@@ -68,12 +68,9 @@
 };
 
 // Fails at step "bind" if the address cannot be bound.
-leaf::result<std::unique_ptr<http_server>> start_server(event_base* base,
-                                                        const server_options& options,
-                                                        exchange_handler handler);
-
-// Stops listening; running exchanges go on.
-void stop_listening(http_server& server);
+leaf::result<std::unique_ptr<http_listener>> start_server(event_base* base,
+                                                          const server_options& options,
+                                                          exchange_handler handler);
 
 // All are without effect once the caller has left.
 void reply(server_exchange& exchange, int status, const std::vector<http_header>& headers,
--- a/net/loop.cc
+++ b/net/loop.cc
@@ -1,6 +1,5 @@
 #include "net/loop.h"
 
-#include <cstdlib>
 #include <utility>
 
 namespace peridot {
@@ -17,21 +16,6 @@
 
 }  // namespace
 
-ip_endpoint parse_endpoint(std::string_view address) {
-  const std::size_t colon = address.rfind(':');
-  std::string_view host = address.substr(0, colon);
-  if (host.size() >= 2 && host.front() == '[') {
-    host = host.substr(1, host.size() - 2);
-  }
-  ip_endpoint endpoint;
-  endpoint.host = std::string(host);
-  if (colon != std::string_view::npos) {
-    const std::string digits(address.substr(colon + 1));
-    endpoint.port = static_cast<std::uint16_t>(std::strtoul(digits.c_str(), nullptr, 10));
-  }
-  return endpoint;
-}
-
 timeval to_timeval(std::chrono::milliseconds time) {
   const std::chrono::seconds seconds = std::chrono::duration_cast<std::chrono::seconds>(time);
   const std::chrono::microseconds rest = time - seconds;
--- a/net/loop.h
+++ b/net/loop.h
@@ -34,15 +34,6 @@
 using event_ptr = std::unique_ptr<event, event_deleter>;
 using evbuffer_ptr = std::unique_ptr<evbuffer, evbuffer_deleter>;
 
-// IP number and port, as libraries want them.
-struct ip_endpoint {
-  std::string host;  // without brackets
-  std::uint16_t port = 0;
-};
-
-// Splits "10.0.0.7:80" or "[::1]:80". Precondition: checked by settings.
-ip_endpoint parse_endpoint(std::string_view address);
-
 timeval to_timeval(std::chrono::milliseconds time);
 
 // Runs `work` once from the loop, after the current callback has returned.
--- a/net/process_internal.h
+++ b/net/process_internal.h
@@ -76,7 +76,7 @@
   event_base_ptr base;
   router_core core;
   std::unique_ptr<mesh> peers;
-  std::unique_ptr<http_server> server;
+  std::unique_ptr<http_listener> server;
   metrics counts;
   std::map<std::uint64_t, std::unique_ptr<caller_call>> calls;     // by request id
   std::map<std::uint64_t, std::uint64_t> calls_by_key;             // key sequence to request id
