Add the scheduler: grants, tags, target limits, lone calls, service totals

Cause: owners of shards need to decide which queued call gets the next slot. Weighed: one index of backlogged organisations against a scan per grant (the index: cost follows the backlogged); a signed stream of totals against grow-only counters (grow-only: a late or doubled message changes nothing; refunds are used up by later charges); counting a sender's history at first contact against a baseline (baseline, unless the account was opened since or the sender restarted).

--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -24,10 +24,16 @@
 // Thread safety: none; one loop owns the table.
 #pragma once
 
+#include <array>
+#include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/peer_messages.h"
@@ -36,6 +42,13 @@
 
 namespace peridot {
 
+// Which policy picks the next organisation. The others are baselines.
+enum class share_policy {
+  fleet_fair,  // tags that count what other owners charged
+  local_fair,  // tags of this owner alone
+  first_come,  // oldest demand first
+};
+
 // What a target says of itself. `sampled_at` is when the sample was taken, on
 // the clock of the router that polled, and never later than that moment.
 struct load_report {
@@ -49,28 +62,47 @@
 
 struct outstanding_grant {
   std::uint64_t id = 0;
+  shard_key shard;
   target_name target;
   organisation_name organisation;
   router_identity entry;
   traffic_class priority = traffic_class::standard;
   bool solo = false;
-  service_units estimated = 0;
+  service_units estimated = 0;  // as charged
   instant granted_at{};
-  instant use_before{};  // an unused grant is void from here on
+  instant use_before{};     // an unused grant is void from here on
+  bool entry_gone = false;  // no finish will come; load reports must show its end
+};
+
+// A load report that waits until the ends of calls that it no longer counts must
+// have been heard of.
+struct unsettled_report {
+  std::uint32_t load = 0;
+  instant sampled_at{};
 };
 
 // One target of a held shard.
 struct target_row {
   target_name name;
-  std::string boot_id;
-  std::uint64_t completed = 0;  // calls since it started, as far as known
+  target_config settings;  // as published
+  bool configured = true;  // still published, and in this shard
+  std::string boot_id;     // empty until one was seen
+  std::vector<std::string> past_boot_ids;
+  std::uint64_t completed = 0;      // calls since it started, as far as known; a lower bound
+  std::uint64_t finished_here = 0;  // calls granted here that ended since it was last cold
+  std::uint64_t reported_completed = 0;
   std::uint32_t in_flight = 0;  // own grants outstanding
   std::uint32_t interactive_in_flight = 0;
-  std::uint32_t foreign_in_flight = 0;  // left running by earlier owners
+  std::uint32_t foreign_in_flight = 0;  // left running by earlier owners; an upper bound
   bool usable = false;                  // a load report of this tenure was seen
   instant usable_after{};               // reports sampled before this are too old
+  instant cold_until{};                 // reports sampled before this do not warm it
   instant blocked_until{};              // after a failed connection
+  std::uint32_t refusals = 0;           // in a row
   instant last_report{};
+  std::optional<unsettled_report> unsettled;
+  std::uint32_t shortages = 0;       // settled reports in a row that showed too few calls
+  std::uint32_t least_shortage = 0;  // over these
   bool solo_running = false;
   bool solo_wanted = false;  // being emptied for a solo request
 };
@@ -81,44 +113,149 @@
   std::map<target_name, target_row> targets;
 };
 
-// Demand of one entry router for one pool.
+// Calls that one demand added to a line.
+struct arrival {
+  instant at{};
+  std::uint32_t calls = 0;
+};
+
+// What one entry router has queued of one organisation and class. `plain` and
+// `solo` count down as grants go out.
+struct queued_line {
+  std::uint32_t plain = 0;
+  std::uint32_t solo = 0;  // must run alone on a target
+  service_units estimated = 0;
+  std::deque<arrival> arrivals;  // oldest first; kept for share_policy::first_come only
+};
+
+// What an organisation has queued in one class, by entry router.
+struct class_backlog {
+  std::uint32_t plain = 0;
+  std::uint32_t solo = 0;
+  std::map<router_address, queued_line> lines;
+  router_address last_granted;  // entry routers take turns
+};
+
+struct line_key {
+  organisation_name organisation;
+  traffic_class priority = traffic_class::standard;
+};
+
+// The newest demand of one entry router for one pool. Its lines are kept with
+// the accounts of their organisations.
 struct entry_demand {
   router_identity entry;
-  instant sent_at{};                     // entry router's clock, to be echoed
-  instant received_at{};                 // this router's clock
-  std::vector<wire::demand_line> lines;  // `queued` counts down as grants go out
+  std::uint64_t sent_at_us = 0;  // entry router's clock, to be echoed
+  instant received_at{};         // this router's clock
+  std::vector<line_key> lines;
 };
 
+inline constexpr std::size_t traffic_classes = 3;
+
 // One organisation in one pool.
 struct account {
   double tag = 0;      // charged service / weight, over all owners heard
+  double weight = 1;   // as published
   double charged = 0;  // by this router, grows only; what totals carry
+  double refunds = 0;  // corrections below the estimate that `charged` still contains
   double told = 0;     // of `charged`, already sent
-  instant last_backlogged{};
+  instant opened{};
+  instant last_active{};        // last demand or charge
+  instant keeps_place_until{};  // after its demand went stale
   bool backlogged = false;
+  std::uint32_t in_flight = 0;  // own grants outstanding
+  std::array<class_backlog, traffic_classes> classes;
+  double index_key = 0;  // under which the pool's indexes hold it
+};
+
+// Backlogged organisations in the order in which the policy serves them.
+using backlog_index = std::set<std::pair<double, organisation_name>>;
+
+// What was heard of one account of another owner.
+struct heard_account {
+  std::uint64_t opened_us = 0;  // sender's clock
+  double total = 0;
+  instant changed{};
+};
+
+// One other owner, by address. Accounts that it opened after `counts_from_us`
+// are counted from zero, older ones from the first total that was heard.
+struct heard_owner {
+  std::uint64_t incarnation = 0;
+  std::uint64_t counts_from_us = 0;  // sender's clock
+  std::map<organisation_name, heard_account> accounts;
 };
 
 struct pool_row {
   std::map<organisation_name, account> accounts;
   std::map<router_address, entry_demand> demands;
-  std::map<router_identity, std::map<organisation_name, double>> heard_totals;
+  std::map<router_address, heard_owner> heard_totals;
+  std::set<router_address> told_owners;  // those that were sent every account once
+  std::set<organisation_name> untold;    // accounts whose `charged` has grown since
+  std::uint64_t totals_sent = 0;         // rounds
+  backlog_index plain;                   // organisations with any call that may share a target
+  backlog_index interactive;             // of these, with interactive ones
+  backlog_index solo;                    // with calls that must run alone
+  double virtual_time = 0;               // highest tag that was ever the lowest; never shrinks
   instant next_totals{};
+  instant next_prune{};
 };
 
 struct scheduler_table {
   std::map<shard_key, shard_row> shards;  // held ones only
   std::map<pool_name, pool_row> pools;
-  std::map<std::uint64_t, outstanding_grant> grants;
+  std::map<std::uint64_t, outstanding_grant> grants;  // ids grow with time
   std::uint64_t next_grant = 1;
-};
 
-// Which policy picks the next organisation. The others are baselines.
-enum class share_policy {
-  fleet_fair,  // tags that count what other owners charged
-  local_fair,  // tags of this owner alone
-  first_come,  // oldest demand first
+  instant latest{};  // newest `now` of any call
+  share_policy policy = share_policy::fleet_fair;
+
+  // Copies of what was published, renewed when its version changes.
+  std::uint64_t config_version = 0;
+  std::uint64_t config_digest = 0;
+  std::unordered_map<organisation_name, double> weights;
+  std::map<pool_name, std::vector<std::uint32_t>> shards_with_targets;  // indices, sorted
 };
 
+// Most that one call is charged, whatever is reported of it.
+inline constexpr service_units max_call_cost = 1'000'000;
+
+// Least that one call is charged, so that every grant moves its organisation.
+inline constexpr service_units min_call_cost = 1;
+
+// Lead in tag beyond which an organisation gets no reserved slots, only its
+// share of the others: otherwise the reserved slots alone could take it ever
+// further ahead of organisations that have no interactive calls.
+inline constexpr double reserved_slot_lead = 20'000;
+
+// Time for a message between two routers, or between a router and a target.
+inline constexpr std::chrono::milliseconds network_slack{100};
+
+// Grants younger than this are taken as not yet seen by the entry router when
+// its demand arrives: about one round trip.
+inline constexpr std::chrono::milliseconds grant_round_trip{5};
+
+// An organisation whose demand was away for no longer keeps its place.
+inline constexpr std::chrono::milliseconds backlog_grace{200};
+
+// After a lost or refused connection, reports sampled for this long do not warm
+// the target.
+inline constexpr std::chrono::milliseconds cold_distrust{1'000};
+
+// Pause after a refused connection; doubles with each further one.
+inline constexpr std::chrono::milliseconds refused_backoff{250};
+inline constexpr std::chrono::milliseconds refused_backoff_limit{4'000};
+
+// A grant of a live entry router that is silent for this long after its
+// use_before may be taken back when load reports show that it does not run.
+inline constexpr std::chrono::milliseconds reclaim_after{2'000};
+
+// Settled reports in a row that must show too few running calls.
+inline constexpr std::uint32_t reclaim_reports = 3;
+
+// Accounts idle for this long are forgotten.
+inline constexpr std::chrono::minutes account_life{5};
+
 struct scheduler_context {
   const published_config& config;
   const instance_list* list;  // may be null
@@ -169,6 +306,7 @@
   double service_rate = 0;                // units a second the pool serves at most
   std::chrono::milliseconds exchange{0};  // totals interval and delivery
   double lowest_weight = 1;
+  double reserved_lead = 0;  // reserved_slot_lead if the pool has reserved slots
 };
 double fairness_gap_bound(const gap_inputs& inputs);
 
--- /dev/null
+++ b/core/scheduler_targets.cc
@@ -0,0 +1,272 @@
+// What a target bears, and what runs on it.
+//
+// A slot is counted from the grant until its end is known. Three sources say
+// what runs on a target: own grants (exact, but an entry router may vanish and
+// never report), load reports (whole, but late), and responses (boot ids).
+//
+// Earlier owners. `foreign_in_flight` starts as the whole load of the first
+// report that counts, when no own grant can be on the target, so it is an upper
+// bound. Nobody else starts calls on the target from then on, so it only falls:
+// to what a later report shows beyond the own grants that were there. Own grants
+// that may still have been under way at the sample are not subtracted.
+//
+// Settling. A report is applied `network_slack` after its sample, so that the
+// end of each call which it no longer counts has been heard of by then.
+//
+// Lost ends. If settled reports, several in a row, show fewer calls than the
+// own grants that must have been running, the difference has ended without a
+// word. So many overdue grants, oldest first, give up their slot. Overdue means
+// that the entry router is gone, or silent for `reclaim_after`.
+#include <algorithm>
+
+#include "core/check.h"
+#include "core/scheduler_internal.h"
+
+namespace peridot {
+namespace scheduling {
+namespace {
+
+constexpr std::size_t max_past_boot_ids = 4;
+
+void make_cold(target_row& target) {
+  target.completed = 0;
+  target.finished_here = 0;
+  target.reported_completed = 0;
+}
+
+bool is_past_boot(const target_row& target, const std::string& boot_id) {
+  return std::find(target.past_boot_ids.begin(), target.past_boot_ids.end(), boot_id) !=
+         target.past_boot_ids.end();
+}
+
+void set_boot(target_row& target, const std::string& boot_id) {
+  if (!target.boot_id.empty()) {
+    target.past_boot_ids.push_back(target.boot_id);
+    if (target.past_boot_ids.size() > max_past_boot_ids) {
+      target.past_boot_ids.erase(target.past_boot_ids.begin());
+    }
+    make_cold(target);
+  }
+  target.boot_id = boot_id;
+  target.unsettled.reset();
+  target.shortages = 0;
+}
+
+void note_boot_of_response(target_row& target, const std::string& boot_id) {
+  if (!boot_id.empty() && boot_id != target.boot_id && !is_past_boot(target, boot_id)) {
+    set_boot(target, boot_id);
+  }
+}
+
+void count_completed(target_row& target) {
+  // Both are lower bounds of what was completed since the start.
+  target.completed = std::max({target.completed, target.finished_here, target.reported_completed});
+}
+
+std::size_t grants_on(const scheduler_table& table, const shard_key& shard,
+                      const target_name& target) {
+  std::size_t count = 0;
+  for (const std::pair<const std::uint64_t, outstanding_grant>& grant : table.grants) {
+    const bool here = grant.second.shard == shard && grant.second.target == target;
+    count += here ? 1 : 0;
+  }
+  return count;
+}
+
+std::vector<std::uint64_t> grants_used_before(const scheduler_table& table, const shard_key& shard,
+                                              const target_name& target, instant moment) {
+  std::vector<std::uint64_t> result;
+  for (const std::pair<const std::uint64_t, outstanding_grant>& grant : table.grants) {
+    const outstanding_grant& row = grant.second;
+    if (row.shard == shard && row.target == target && row.use_before + network_slack <= moment) {
+      result.push_back(grant.first);
+    }
+  }
+  return result;
+}
+
+void reclaim(scheduler_table& table, target_row& target, const std::vector<std::uint64_t>& present,
+             instant sampled_at) {
+  std::uint32_t left = target.least_shortage;
+  for (std::uint64_t id : present) {
+    const outstanding_grant& grant = table.grants.at(id);
+    const bool overdue = grant.entry_gone || grant.use_before + reclaim_after <= sampled_at;
+    if (left > 0 && overdue) {
+      release_grant(table, id);
+      --left;
+    }
+  }
+  target.shortages = 0;
+}
+
+// True if the report shows a start that was not known.
+bool shows_new_start(const target_row& target, const load_report& report) {
+  const bool known = !target.boot_id.empty() && !report.boot_id.empty();
+  const bool other_boot = known && report.boot_id != target.boot_id;
+  const bool counter_fell = report.completed < target.reported_completed;
+  return other_boot || counter_fell;
+}
+
+void note_new_start(scheduler_table& table, const shard_key& shard, target_row& target,
+                    const load_report& report) {
+  // What was running when the last report was sampled ended with the old start.
+  for (std::uint64_t id : grants_used_before(table, shard, target.name, target.last_report)) {
+    release_grant(table, id);
+  }
+  if (!report.boot_id.empty() && report.boot_id != target.boot_id) {
+    set_boot(target, report.boot_id);
+  }
+  make_cold(target);
+  target.unsettled.reset();
+  target.shortages = 0;
+  target.foreign_in_flight = std::min(target.foreign_in_flight, report.running + report.waiting);
+}
+
+}  // namespace
+
+free_slots slots_of(const target_row& target) {
+  const std::uint32_t limit = current_limit(target.settings, target.completed);
+  const std::uint32_t reserved =
+      limit > target.settings.reserved_slots ? target.settings.reserved_slots : 0;
+  const std::uint32_t shared_limit = limit - reserved;
+  const std::uint32_t used = target.in_flight + target.foreign_in_flight;
+  // Calls of earlier owners are of unknown class: they count as not interactive.
+  const std::uint32_t used_shared = used - target.interactive_in_flight;
+  free_slots free;
+  free.any = limit - std::min(limit, used);
+  free.shared = std::min(free.any, shared_limit - std::min(shared_limit, used_shared));
+  return free;
+}
+
+bool is_ready(const target_row& target, const scheduler_context& context, instant now) {
+  static const instance_list nothing_listed;
+  const instance_list& list = context.list == nullptr ? nothing_listed : *context.list;
+  if (!target.configured || !target.usable || target.blocked_until > now) {
+    return false;
+  }
+  return !is_withdrawn(context.config, list, target.settings);
+}
+
+target_row* find_row(scheduler_table& table, const shard_key& shard, const target_name& target) {
+  const auto row = table.shards.find(shard);
+  if (row == table.shards.end()) {
+    return nullptr;
+  }
+  const auto found = row->second.targets.find(target);
+  return found == row->second.targets.end() ? nullptr : &found->second;
+}
+
+void release_grant(scheduler_table& table, std::uint64_t id) {
+  const auto grant = table.grants.find(id);
+  PERIDOT_CHECK(grant != table.grants.end(), "a grant was released twice");
+  const outstanding_grant& row = grant->second;
+  target_row* target = find_row(table, row.shard, row.target);
+  PERIDOT_CHECK(target != nullptr, "a grant outlived its target's row");
+  PERIDOT_CHECK(target->in_flight > 0, "fewer slots are counted than grants");
+  --target->in_flight;
+  if (row.priority == traffic_class::interactive) {
+    PERIDOT_CHECK(target->interactive_in_flight > 0, "fewer slots are counted than grants");
+    --target->interactive_in_flight;
+  }
+  if (row.solo) {
+    target->solo_running = false;
+  }
+  account& owner = table.pools.at(row.shard.pool).accounts.at(row.organisation);
+  PERIDOT_CHECK(owner.in_flight > 0, "an account counts fewer grants than it has");
+  --owner.in_flight;
+  table.grants.erase(grant);
+}
+
+void settle_report(scheduler_table& table, const shard_key& shard, target_row& target,
+                   instant now) {
+  if (!target.unsettled || now < target.unsettled->sampled_at + network_slack) {
+    return;
+  }
+  PERIDOT_CHECK(target.in_flight == grants_on(table, shard, target.name),
+                "a target's count differs from its grants");
+  const unsettled_report report = *target.unsettled;
+  target.unsettled.reset();
+  const std::vector<std::uint64_t> present =
+      grants_used_before(table, shard, target.name, report.sampled_at);
+  const std::uint32_t own = static_cast<std::uint32_t>(present.size());
+  const std::uint32_t beyond_own = report.load - std::min(report.load, own);
+  target.foreign_in_flight = std::min(target.foreign_in_flight, beyond_own);
+  if (own <= report.load) {
+    target.shortages = 0;
+    return;
+  }
+  const std::uint32_t shortage = own - report.load;
+  target.least_shortage =
+      target.shortages == 0 ? shortage : std::min(target.least_shortage, shortage);
+  ++target.shortages;
+  if (target.shortages >= reclaim_reports) {
+    reclaim(table, target, present, report.sampled_at);
+  }
+}
+
+void note_finish(target_row& target, const wire::finish& message, bool counted, instant now) {
+  note_boot_of_response(target, message.boot_id());
+  switch (message.result()) {
+    case wire::finish_lost:
+      make_cold(target);
+      target.cold_until = now + cold_distrust;
+      break;
+    case wire::finish_refused: {
+      make_cold(target);
+      target.cold_until = now + cold_distrust;
+      const duration pause = refused_backoff * (1U << std::min(target.refusals, 8U));
+      target.blocked_until = now + std::min<duration>(pause, refused_backoff_limit);
+      ++target.refusals;
+      break;
+    }
+    case wire::finish_ok:
+      target.refusals = 0;
+      if (counted && !is_past_boot(target, message.boot_id())) {
+        ++target.finished_here;
+        count_completed(target);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+}  // namespace scheduling
+
+void on_load_report(scheduler_table& table, const load_report& report, instant now,
+                    const scheduler_context& context) {
+  scheduling::refresh_published(table, context, now);
+  for (std::pair<const shard_key, shard_row>& shard : table.shards) {
+    const auto found = shard.second.targets.find(report.target);
+    if (found == shard.second.targets.end()) {
+      continue;
+    }
+    target_row& target = found->second;
+    const bool late = report.sampled_at < target.usable_after ||
+                      (target.usable && report.sampled_at <= target.last_report);
+    if (late || scheduling::is_past_boot(target, report.boot_id)) {
+      continue;
+    }
+    scheduling::settle_report(table, shard.first, target, now);
+    const std::uint32_t load = report.running + report.waiting;
+    if (!target.usable) {
+      PERIDOT_CHECK(target.in_flight == 0, "a target was granted before it was usable");
+      target.usable = true;
+      target.foreign_in_flight = load;
+    } else if (scheduling::shows_new_start(target, report)) {
+      scheduling::note_new_start(table, shard.first, target, report);
+    } else if (!target.unsettled) {
+      target.unsettled = unsettled_report{load, report.sampled_at};
+    }
+    if (target.boot_id.empty()) {
+      target.boot_id = report.boot_id;
+    }
+    target.last_report = report.sampled_at;
+    if (report.sampled_at >= target.cold_until) {
+      target.reported_completed = report.completed;
+      scheduling::count_completed(target);
+    }
+  }
+}
+
+}  // namespace peridot
