--- a/core/router.cc
+++ b/core/router.cc
@@ -24,7 +24,7 @@
 
 entry_context make_entry_context(const router_core& core) {
   PERIDOT_CHECK(core.config != nullptr, "queues need a configuration");
-  return entry_context{*core.config, core.members, core.own_shards};
+  return entry_context{*core.config, core.members, core.own_shards, core.list.get()};
 }
 
 local_status make_local_status(const router_core& core, instant now) {
@@ -115,14 +115,13 @@
       event.target = row->second.running->target;
     }
   }
-  const std::size_t suspects_before = core.entry.suspects.size();
   const decision what =
       on_target_done(core.entry, request, result, make_entry_context(core), now, todo.messages);
   event.kind = what.what == decision::kind::queued_again ? event_kind::request_retried
                                                          : event_kind::request_finished;
   event.detail = wire::finish_result_Name(result.result);
   note(core, std::move(event), now);
-  if (result.result == wire::finish_lost || core.entry.suspects.size() != suspects_before) {
+  if (result.result == wire::finish_lost) {
     send_heartbeats(core.members, fleet_of(core), make_local_status(core, now), now, todo.messages);
   }
   send_changed_demands(core.entry, make_entry_context(core), now, todo.messages);
--- a/core/router_tick.cc
+++ b/core/router_tick.cc
@@ -179,6 +179,11 @@
   const std::vector<decision> expired =
       entry_tick(core.entry, make_entry_context(core), now, todo.messages);
   todo.decisions.insert(todo.decisions.end(), expired.begin(), expired.end());
+  if (core.stopping) {
+    // A run that ended may have been queued again.
+    const std::vector<decision> refused = refuse_queued(core.entry, refusal::stopping, now);
+    todo.decisions.insert(todo.decisions.end(), refused.begin(), refused.end());
+  }
   schedule(core, now, todo);
   send_totals(core.scheduler, other_owners(core), make_scheduler_context(core), now, todo.messages);
   deliver_to_self(core, now, todo);
