Put the stand-ins into a namespace of their own

Cause: net/ has a struct http_server and functions of the same names and parameters, and both libraries are linked into each binary. Two definitions of peridot::stop_listening(http_server&) would be chosen by link order. Change: namespace peridot::standins for all of standins/.

--- a/standins/config_standin_main.cc
+++ b/standins/config_standin_main.cc
@@ -22,7 +22,7 @@
 ABSL_FLAG(std::uint64_t, list_lag_ms, 2'000,
           "milliseconds after which a published instance list is served");
 
-namespace peridot {
+namespace peridot::standins {
 namespace {
 
 using clock = std::chrono::steady_clock;
@@ -220,11 +220,11 @@
 }
 
 }  // namespace
-}  // namespace peridot
+}  // namespace peridot::standins
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
       "stand-in for the platform's configuration service and instance list");
   absl::ParseCommandLine(argc, argv);
-  return peridot::run();
+  return peridot::standins::run();
 }
--- a/standins/engine_model.cc
+++ b/standins/engine_model.cc
@@ -4,7 +4,7 @@
 
 #include "core/check.h"
 
-namespace peridot {
+namespace peridot::standins {
 
 namespace {
 
@@ -214,4 +214,4 @@
   table.sample = load_sample{table.boot_id, running, waiting, table.completed, now};
 }
 
-}  // namespace peridot
+}  // namespace peridot::standins
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -27,7 +27,7 @@
 
 #include "core/types.h"
 
-namespace peridot {
+namespace peridot::standins {
 
 struct engine_options {
   std::uint32_t max_batch = 8;
@@ -150,4 +150,4 @@
 // Takes a new sample if the last one is older than `report_lag`.
 void sample_load(engine_table& table, const engine_options& options, instant now);
 
-}  // namespace peridot
+}  // namespace peridot::standins
--- a/standins/engine_standin_main.cc
+++ b/standins/engine_standin_main.cc
@@ -30,7 +30,7 @@
 ABSL_FLAG(std::uint32_t, report_lag_ms, 200, "milliseconds between two samples of the load");
 ABSL_FLAG(std::uint32_t, kept_answers, 256, "answers kept for a resume");
 
-namespace peridot {
+namespace peridot::standins {
 namespace {
 
 using clock = std::chrono::steady_clock;
@@ -308,10 +308,10 @@
 }
 
 }  // namespace
-}  // namespace peridot
+}  // namespace peridot::standins
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage("stand-in for a model engine that batches continuously");
   absl::ParseCommandLine(argc, argv);
-  return peridot::run();
+  return peridot::standins::run();
 }
--- a/standins/http_server.cc
+++ b/standins/http_server.cc
@@ -10,7 +10,7 @@
 
 #include "core/check.h"
 
-namespace peridot {
+namespace peridot::standins {
 
 namespace {
 
@@ -234,4 +234,4 @@
   return text;
 }
 
-}  // namespace peridot
+}  // namespace peridot::standins
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -21,7 +21,7 @@
 #include <set>
 #include <string>
 
-namespace peridot {
+namespace peridot::standins {
 
 inline constexpr std::size_t max_request_bytes = 2 << 20;
 inline constexpr std::chrono::milliseconds stand_in_tick{2};
@@ -87,4 +87,4 @@
 std::uint64_t body_hash(const std::string& body);
 std::string hash_text(std::uint64_t hash);
 
-}  // namespace peridot
+}  // namespace peridot::standins
--- a/standins/published_values.cc
+++ b/standins/published_values.cc
@@ -3,7 +3,7 @@
 #include <cstdlib>
 #include <sstream>
 
-namespace peridot {
+namespace peridot::standins {
 
 std::optional<std::uint64_t> document_version(const std::string& text) {
   std::istringstream lines(text);
@@ -59,4 +59,4 @@
   return served;
 }
 
-}  // namespace peridot
+}  // namespace peridot::standins
--- a/standins/published_values.h
+++ b/standins/published_values.h
@@ -14,7 +14,7 @@
 
 #include "core/types.h"
 
-namespace peridot {
+namespace peridot::standins {
 
 struct document {
   std::string text;
@@ -47,4 +47,4 @@
 // Null if nothing is served yet. Valid until the value changes.
 const document* served_document(const published_value& value, instant now);
 
-}  // namespace peridot
+}  // namespace peridot::standins
--- a/standins/run_ledger.cc
+++ b/standins/run_ledger.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace peridot {
+namespace peridot::standins {
 
 namespace {
 
@@ -33,4 +33,4 @@
   return result;
 }
 
-}  // namespace peridot
+}  // namespace peridot::standins
--- a/standins/run_ledger.h
+++ b/standins/run_ledger.h
@@ -10,7 +10,7 @@
 #include <map>
 #include <string>
 
-namespace peridot {
+namespace peridot::standins {
 
 struct run_ledger {
   std::map<std::string, std::uint64_t> by_key;   // idempotency key, or the body's hash without one
@@ -30,4 +30,4 @@
 
 run_totals totals(const run_ledger& ledger);
 
-}  // namespace peridot
+}  // namespace peridot::standins
--- a/standins/service_standin_main.cc
+++ b/standins/service_standin_main.cc
@@ -23,7 +23,7 @@
 ABSL_FLAG(std::uint32_t, restart_ms, 2'000, "milliseconds from a crash to the next start");
 ABSL_FLAG(std::uint32_t, report_lag_ms, 200, "milliseconds between two samples of the load");
 
-namespace peridot {
+namespace peridot::standins {
 namespace {
 
 using clock = std::chrono::steady_clock;
@@ -280,10 +280,10 @@
 }
 
 }  // namespace
-}  // namespace peridot
+}  // namespace peridot::standins
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage("stand-in for a plain service whose calls may not be repeated");
   absl::ParseCommandLine(argc, argv);
-  return peridot::run();
+  return peridot::standins::run();
 }
--- a/standins/testing/engine_model_test.cc
+++ b/standins/testing/engine_model_test.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <random>
 
-namespace peridot {
+namespace peridot::standins {
 namespace {
 
 using namespace std::chrono_literals;
@@ -175,4 +175,4 @@
 }
 
 }  // namespace
-}  // namespace peridot
+}  // namespace peridot::standins
--- a/standins/testing/published_values_test.cc
+++ b/standins/testing/published_values_test.cc
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-namespace peridot {
+namespace peridot::standins {
 namespace {
 
 using namespace std::chrono_literals;
@@ -44,4 +44,4 @@
 }
 
 }  // namespace
-}  // namespace peridot
+}  // namespace peridot::standins
--- a/standins/testing/run_ledger_test.cc
+++ b/standins/testing/run_ledger_test.cc
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-namespace peridot {
+namespace peridot::standins {
 
 TEST_CASE("the ledger finds calls that ran twice") {
   run_ledger ledger;
@@ -29,4 +29,4 @@
   }
 }
 
-}  // namespace peridot
+}  // namespace peridot::standins
