--- a/core/fairness_bound.cc
+++ b/core/fairness_bound.cc
@@ -5,20 +5,19 @@
 namespace peridot {
 
 double fairness_gap_bound(const gap_inputs& inputs) {
-  // One owner alone: what is in flight may be corrected by a call's whole cost.
+  // Calls in flight may yet be corrected by up to their whole cost.
   const double in_flight = inputs.slots * inputs.cost_ceiling / inputs.lowest_weight;
-  const double lead = inputs.reserved_lead;
   if (inputs.owners <= 1) {
-    return 2 * (in_flight + lead);
+    return 2 * (in_flight + inputs.reserved_lead);
   }
-  // What the other owners charged and this one has not heard of: what the pool
-  // serves in one exchange, what is in flight, and refunds that totals hide.
+  // Charges of other owners that this one has not heard of: what the pool serves
+  // in one exchange, what is in flight at its two ends, and refunds that totals hide.
   const double seconds = std::chrono::duration<double>(inputs.exchange).count();
   const double served = inputs.service_rate * seconds / inputs.lowest_weight;
-  const double unheard = served + 2 * in_flight;
-  // Twice for the two ends of the window, twice more for owners that saw the
-  // organisations become backlogged at different moments.
-  return 2 * (in_flight + lead) + 4 * unheard;
+  const double unheard = served + 3 * in_flight;
+  // Either organisation may lead, and owners may disagree by as much on where
+  // the two stood when the later one became backlogged.
+  return 4 * (in_flight + inputs.reserved_lead + unheard);
 }
 
 }  // namespace peridot
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -196,7 +196,7 @@
   backlog_index plain;                   // organisations with any call that may share a target
   backlog_index interactive;             // of these, with interactive ones
   backlog_index solo;                    // with calls that must run alone
-  double virtual_time = 0;               // highest tag that was ever the lowest; never shrinks
+  double virtual_time = 0;               // highest tag that was ever served next; never shrinks
   instant next_totals{};
   instant next_prune{};
 };
--- a/core/scheduler_grants.cc
+++ b/core/scheduler_grants.cc
@@ -139,7 +139,6 @@
     const account& row = pool.accounts.at(chosen);
     PERIDOT_CHECK(table.policy == share_policy::first_come || pool.plain.begin()->first == row.tag,
                   "the chosen organisation's tag is not the lowest");
-    pool.virtual_time = std::max(pool.virtual_time, row.tag);
     const traffic_class priority = class_to_serve(table, row, false);
     make_grant(table, pool, chosen, priority, false, places[place], context, now, out);
     candidates.push({slots_of(*places[place].target).shared, place});
@@ -188,6 +187,9 @@
                 const std::vector<shard_lease>& leases, const scheduler_context& context,
                 instant now, outbox& out) {
   drop_stale_demands(table, pool, context.config.fleet, now);
+  if (table.policy != share_policy::first_come) {
+    pool.virtual_time = std::max(pool.virtual_time, lowest_key(pool).value_or(0));
+  }
   std::vector<grant_place> places = ready_places(table, name, leases, context, now);
   schedule_solo(table, name, pool, places, context, now, out);
   std::erase_if(places, [](const grant_place& place) {
--- a/core/scheduler_totals.cc
+++ b/core/scheduler_totals.cc
@@ -136,6 +136,8 @@
     const double units = growth(owner, total, table.latest);
     if (units > 0) {
       account& row = scheduling::open_account(table, pool->second, name);
+      // It was served elsewhere, so its tag was the lowest there.
+      pool->second.virtual_time = std::max(pool->second.virtual_time, row.tag);
       row.tag += units / row.weight;
       row.last_active = table.latest;
       scheduling::reindex(table, pool->second, name, row);
