--- a/core/testing/entry_test.cc
+++ b/core/testing/entry_test.cc
@@ -1,12 +1,9 @@
-#include "core/entry.h"
-
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <random>
 #include <set>
 
-#include "core/entry_internal.h"
+#include "core/testing/entry_bench.h"
 
 namespace peridot {
 
@@ -26,128 +23,9 @@
 
 namespace {
 
+using namespace entry_bench;
 using std::chrono::milliseconds;
 
-const instant start = instant{} + std::chrono::hours{1};
-const router_address self_address{"127.0.0.1:7400"};
-const router_address owner_address{"127.0.0.1:7401"};
-const organisation_name guides{"guides"};
-const organisation_name schools{"schools"};
-const pool_name pool{"explain"};
-
-published_config make_config() {
-  published_config config;
-  config.version = 3;
-  config.organisations = {{guides, 1, 256}, {schools, 1, 256}};
-  profile_config ask;
-  ask.name = profile_name{"ask"};
-  ask.pool = pool;
-  profile_config reserve = ask;
-  reserve.name = profile_name{"reserve"};
-  reserve.repeatable = false;
-  config.profiles = {ask, reserve};
-  for (const char* name : {"engine-1", "engine-2", "engine-3"}) {
-    target_config target;
-    target.name = target_name{name};
-    target.pool = pool;
-    config.targets.push_back(target);
-  }
-  config.targets[2].drained = true;
-  return config;
-}
-
-// One entry router and the owner of all shards, which is played by the test.
-struct bench {
-  published_config config = make_config();
-  membership_table members;
-  std::vector<shard_key> own_shards;
-  entry_table table;
-  outbox out;
-  instant now = start;
-  router_identity owner{owner_address, 77};
-  std::uint64_t next_grant = 1;
-
-  bench() {
-    members.self = router_identity{self_address, 5};
-    member peer;
-    peer.identity = owner;
-    peer.state = member_state::alive;
-    peer.last_heard = start;
-    for (std::uint32_t index = 0; index < config.fleet.shards_per_pool; ++index) {
-      peer.owned.push_back(shard_key{pool, index});
-    }
-    members.members[owner_address] = peer;
-  }
-};
-
-entry_context context_of(const bench& b) {
-  return entry_context{b.config, b.members, b.own_shards};
-}
-
-submit_result submit_one(bench& b, const organisation_name& organisation, const char* profile,
-                         std::uint64_t fingerprint = 0) {
-  new_request request;
-  request.organisation = organisation;
-  request.profile = profile_name{profile};
-  request.fingerprint = fingerprint != 0 ? fingerprint : 1'000'000 + b.table.next_id;
-  const submit_result result = submit(b.table, request, context_of(b), b.now);
-  send_changed_demands(b.table, context_of(b), b.now, b.out);
-  return result;
-}
-
-wire::grant make_grant(bench& b, const organisation_name& organisation, bool solo = false,
-                       const char* target = "engine-1") {
-  wire::grant grant;
-  grant.set_grant_id(b.next_grant++);
-  *grant.mutable_shard() =
-      to_wire(shard_of(pool, target_name{target}, b.config.fleet.shards_per_pool));
-  grant.set_target(target);
-  grant.set_organisation(organisation.value);
-  grant.set_traffic_class(wire::class_standard);
-  grant.set_solo(solo);
-  grant.set_demand_sent_at_us(to_wire(b.now));
-  grant.set_valid_for_us(400'000);
-  grant.set_config_version(b.config.version);
-  grant.set_estimated_cost(100);
-  return grant;
-}
-
-std::optional<dispatch> deliver(bench& b, const wire::grant& grant) {
-  return on_grant(b.table, b.owner, grant, context_of(b), b.now, b.out);
-}
-
-decision finish_run(bench& b, std::uint64_t request, const target_result& result) {
-  return on_target_done(b.table, request, result, context_of(b), b.now, b.out);
-}
-
-decision finish_as(bench& b, std::uint64_t request, wire::finish_result how) {
-  target_result result;
-  result.result = how;
-  result.cost = 50;
-  return finish_run(b, request, result);
-}
-
-// Ends of grants that the owner was told, newest last.
-std::vector<wire::finish_result> finishes(const outbox& out) {
-  std::vector<wire::finish_result> result;
-  for (const outgoing_message& message : out) {
-    if (message.message.has_finish()) {
-      result.push_back(message.message.finish().result());
-    }
-  }
-  return result;
-}
-
-std::vector<wire::demand> demands_to(const outbox& out, const router_address& to) {
-  std::vector<wire::demand> result;
-  for (const outgoing_message& message : out) {
-    if (message.message.has_demand() && message.to == to) {
-      result.push_back(message.message.demand());
-    }
-  }
-  return result;
-}
-
 TEST_CASE("a request is queued, granted and answered") {
   bench b;
   const submit_result queued = submit_one(b, guides, "ask");
@@ -176,9 +54,6 @@
       CHECK_FALSE(deliver(b, grant));
       CHECK(finishes(b.out).back() == wire::finish_returned);
     }
-    SUBCASE("a doubled report changes nothing") {
-      CHECK(finish_as(b, queued.id, wire::finish_lost).what == decision::kind::none);
-    }
     SUBCASE("its cost is the estimate of the next one") {
       b.now += milliseconds{5};
       submit_one(b, schools, "ask");
@@ -199,9 +74,6 @@
     SUBCASE("too late, by a pause of this router") {
       b.now += milliseconds{400};
     }
-    SUBCASE("of an older configuration") {
-      bad.set_config_version(2);
-    }
     SUBCASE("for a withdrawn target") {
       bad = make_grant(b, guides, false, "engine-3");
     }
@@ -211,9 +83,6 @@
     SUBCASE("by the owner of another shard") {
       bad.mutable_shard()->set_index(99);
     }
-    SUBCASE("for solo requests") {
-      bad.set_solo(true);
-    }
     SUBCASE("for an organisation without requests") {
       bad.set_organisation("schools");
     }
@@ -247,30 +116,124 @@
     CHECK(demands_to(b.out, owner_address).back().lines_size() == 0);
   }
 
-  SUBCASE("its caller leaves while it is queued: it never runs, and owners are told") {
+  SUBCASE("its caller leaves: the owner is told that nothing is queued") {
     b.now += milliseconds{3};
     CHECK_FALSE(cancel(b.table, queued.id, 0, context_of(b), b.now, b.out));
     CHECK_FALSE(deliver(b, grant));
     send_changed_demands(b.table, context_of(b), b.now, b.out);
     CHECK(demands_to(b.out, owner_address).back().lines_size() == 0);
   }
+  check_entry_table(b.table);
+}
 
-  SUBCASE("its caller leaves while it runs: the owner is told what ran") {
-    REQUIRE(deliver(b, grant));
-    CHECK(cancel(b.table, queued.id, 30, context_of(b), b.now, b.out));
-    CHECK(finishes(b.out) == std::vector{wire::finish_cancelled});
-    CHECK(finish_as(b, queued.id, wire::finish_ok).what == decision::kind::none);
+TEST_CASE("a request that may not be repeated") {
+  bench b;
+  const std::uint64_t id = submit_one(b, guides, "reserve").id;
+  REQUIRE(deliver(b, make_grant(b, guides)));
+
+  SUBCASE("is queued again after a true refusal, since it did not run") {
+    CHECK(finish_as(b, id, wire::finish_refused).what == decision::kind::queued_again);
+    SUBCASE("and may run") {
+      REQUIRE(deliver(b, make_grant(b, guides)));
+      target_result late;
+      late.run = 1;
+      CHECK(finish_run(b, id, late).what == decision::kind::none);
+      CHECK(finish_as(b, id, wire::finish_lost).how == outcome::unknown);
+    }
+    SUBCASE("or is refused as not run when this router stops") {
+      CHECK(refuse_queued(b.table, refusal::stopping, b.now).at(0).how == outcome::not_run);
+    }
+  }
+  SUBCASE("may have had effects after a failure") {
+    CHECK(finish_as(b, id, wire::finish_failed).how == outcome::failed_after_run);
   }
+}
 
-  SUBCASE("nobody grants: it is refused at its deadline, and it is true that it did not run") {
-    b.now += std::chrono::seconds{10};
-    const std::vector<decision> decisions = entry_tick(b.table, context_of(b), b.now, b.out);
-    REQUIRE(decisions.size() == 1);
-    CHECK(decisions[0].how == outcome::not_run);
-    CHECK(decisions[0].why == refusal::deadline);
+TEST_CASE("a flood fills only its own part of the queue") {
+  bench b;
+  b.table.max_queued = 100;
+  std::set<milliseconds> waits;
+  std::size_t accepted = 0;
+  for (int i = 0; i < 200; ++i) {
+    const submit_result result = submit_one(b, guides, "ask");
+    accepted += result.accepted ? 1 : 0;
+    if (!result.accepted) {
+      CHECK(result.why == refusal::queue_full);
+      CHECK(result.retry_after >= milliseconds{1'000});
+      waits.insert(result.retry_after);
+    }
   }
+  CHECK(accepted == 50);
+  CHECK(waits.size() > 50);
+  CHECK(submit_one(b, schools, "ask").accepted);
+  b.config.organisations[1].max_queued = 3;
+  submit_one(b, schools, "ask");
+  CHECK(submit_one(b, schools, "ask").accepted);
+  CHECK(submit_one(b, schools, "ask").why == refusal::queue_full);
   check_entry_table(b.table);
 }
 
+TEST_CASE("a request that would wait too long is refused at once") {
+  bench b;
+  for (int i = 0; i < 100; ++i) {
+    submit_one(b, guides, "ask");
+  }
+  b.config.profiles[0].queue_deadline = milliseconds{500};
+  CHECK(submit_one(b, guides, "ask").accepted);  // right after the start nothing is known
+  for (int i = 0; i < 50; ++i) {
+    b.now += milliseconds{100};
+    REQUIRE(deliver(b, make_grant(b, guides)));
+  }
+  const submit_result late = submit_one(b, guides, "ask");
+  CHECK(late.why == refusal::deadline);
+  CHECK(late.retry_after >= milliseconds{4'000});
+  CHECK(late.retry_after <= milliseconds{8'000});
+  CHECK(submit_one(b, schools, "ask").accepted);  // its queue is empty
+
+  SUBCASE("a pause is not taken for a slow queue") {
+    b.now += std::chrono::hours{1};
+    entry_tick(b.table, context_of(b), b.now, b.out);
+    for (int i = 0; i < 4; ++i) {
+      CHECK(submit_one(b, guides, "ask").accepted);
+    }
+  }
+}
+
+TEST_CASE("owners are told of demand") {
+  bench b;
+  submit_one(b, guides, "ask");
+  submit_one(b, schools, "ask");
+  CHECK(demands_to(b.out, owner_address).size() == 1);  // spaced
+  b.now += demand_spacing;
+  send_changed_demands(b.table, context_of(b), b.now, b.out);
+  REQUIRE(demands_to(b.out, owner_address).size() == 2);
+  CHECK(demands_to(b.out, owner_address).back().lines_size() == 2);
+
+  SUBCASE("again after a while, since messages get lost") {
+    b.now += demand_refresh;
+    entry_tick(b.table, context_of(b), b.now, b.out);
+    CHECK(demands_to(b.out, owner_address).size() == 3);
+  }
+  SUBCASE("a former owner is told that it is none, once; this router is told like others") {
+    b.members.members.at(owner_address).owned.clear();
+    b.own_shards = {shard_key{pool, 0}, shard_key{pool, 1}};
+    for (int i = 0; i < 2; ++i) {
+      b.now += demand_refresh;
+      entry_tick(b.table, context_of(b), b.now, b.out);
+    }
+    CHECK(demands_to(b.out, owner_address).size() == 3);
+    CHECK(demands_to(b.out, owner_address).back().lines_size() == 0);
+    CHECK(demands_to(b.out, self_address).size() == 2);
+  }
+  SUBCASE("its end, after which nothing is kept of the pool") {
+    b.now += std::chrono::seconds{20};
+    entry_tick(b.table, context_of(b), b.now, b.out);
+    CHECK(demands_to(b.out, owner_address).back().lines_size() == 0);
+    b.now += demand_spacing;
+    entry_tick(b.table, context_of(b), b.now, b.out);
+    CHECK(b.table.demands.empty());
+  }
+}
+
 }  // namespace
 }  // namespace peridot
