--- a/core/settings.cc
+++ b/core/settings.cc
@@ -1,9 +1,6 @@
 #include "core/settings.h"
 
-#include <cerrno>
-#include <cstring>
-#include <fstream>
-
+#include "core/document_file.h"
 #include "core/document_reader.h"
 #include "core/document_tree.h"
 
@@ -82,12 +79,6 @@
   }
 }
 
-settings_result unreadable(const std::string& path, std::string problem) {
-  settings_result result;
-  result.errors.push_back({path, 0, "", std::move(problem)});
-  return result;
-}
-
 }  // namespace
 
 settings_result parse_settings(std::string_view text, std::string_view file) {
@@ -114,17 +105,13 @@
 }
 
 settings_result load_settings(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    return unreadable(path, std::string{"cannot be opened: "} + std::strerror(errno));
-  }
-  std::string text(max_document_bytes + 1, '\0');
-  file.read(text.data(), static_cast<std::streamsize>(text.size()));
-  if (file.bad() || (file.fail() && !file.eof())) {
-    return unreadable(path, "cannot be read");
+  file_result file = read_document_file(path);
+  if (!file.errors.empty()) {
+    settings_result result;
+    result.errors = std::move(file.errors);
+    return result;
   }
-  text.resize(static_cast<std::size_t>(file.gcount()));
-  return parse_settings(text, path);
+  return parse_settings(file.text, path);
 }
 
 }  // namespace peridot
--- a/core/timeline.h
+++ b/core/timeline.h
@@ -61,13 +61,13 @@
   std::uint64_t sequence = 0;              // set by record(), grows by one
   std::chrono::microseconds monotonic{0};  // of the recording process
   std::chrono::system_clock::time_point wall{};
-  std::string request;  // request id
-  organisation_name organisation;
-  target_name target;
-  std::string peer;           // router address of the other side
-  std::string cause_process;  // name of the process that sent the message
+  std::string request{};  // request id
+  organisation_name organisation{};
+  target_name target{};
+  std::string peer{};           // router address of the other side
+  std::string cause_process{};  // name of the process that sent the message
   std::uint64_t cause_sequence = 0;
-  std::string detail;  // short, e.g. "pool=explain shard=2"
+  std::string detail{};  // short, e.g. "pool=explain shard=2"
 };
 
 struct timeline {
@@ -107,10 +107,10 @@
 
 // Keeps what matches every field of the filter that is not empty.
 struct timeline_filter {
-  std::string request;
-  organisation_name organisation;
-  target_name target;
-  std::string process;
+  std::string request{};
+  organisation_name organisation{};
+  target_name target{};
+  std::string process{};
 };
 std::vector<merged_event> filter(const std::vector<merged_event>& events,
                                  const timeline_filter& wanted);
