Add membership and leases

Cause: rights to use a shard need a holder that is alone, with nothing but the memory and the monotonic clocks of routers that restart empty.

Weighed: a numbered tenure chosen by the claimant alone (two claimants may pick one number), by the voters alone (numbers of one quorum differ), or bound by each voter and raised to the highest of the quorum. The last costs no round trip when voters agree, one more when they don't, and is what is built. A timed retry by jitter alone left a shard idle for up to a second after its lease had ended; voters now say when they are free.

--- a/core/lease.h
+++ b/core/lease.h
@@ -25,8 +25,11 @@
 // Thread safety: none; one loop owns the tables.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 #include "core/membership.h"
@@ -39,15 +42,27 @@
 // Replaced routers by which two views in use may differ.
 inline constexpr std::size_t view_slack = 1;
 
+// A holder hands a shard over when another live router has been the preferred
+// owner for this long. Doubled after each handover that nobody took up.
+inline constexpr std::chrono::milliseconds handover_after{2'000};
+
+// Longest lease a voter grants, and most shards it keeps a record of.
+inline constexpr std::chrono::milliseconds longest_lease{60'000};
+inline constexpr std::size_t max_voted_shards = 4'096;
+
 // Part of a lease that the holder gives up for clock drift: one in this many.
 inline constexpr int clock_margin_divisor = 50;
 
 std::size_t quorum_size(std::size_t voters);
 
-// What this router granted to others (and to itself) as a voter.
+// What this router granted to others (and to itself) as a voter. Kept after the
+// lease has ended: the number must not be forgotten, and late copies of the last
+// holder's messages must be told from new ones.
 struct granted_lease {
   router_identity holder;
   instant expires{};
+  std::uint64_t newest_sent_at_us = 0;  // holder's clock; older messages are ignored
+  std::uint64_t fencing = 0;            // highest number bound here
 };
 
 struct voter_table {
@@ -65,13 +80,40 @@
   instant release_at{};
   instant backoff_until{};
   std::uint64_t fencing = 0;  // of this tenure; grows over tenures in the fleet
+
+  // The attempt to win, or the tenure.
+  bool campaigning = false;
+  instant campaign_ends{};  // not won by then: gives up
+  instant void_before{};    // replies to requests sent earlier do not count
+  instant ends{};           // of the lease, as of the last tick or reply
+  std::uint32_t failed_campaigns = 0;
+  std::set<router_address> asked;             // may have granted; they get the release
+  std::map<router_address, instant> refused;  // in this campaign, and free from when
+
+  // Choices made from the view, redone when the view changes.
+  std::vector<router_address> voters;
+  std::optional<std::size_t> rank;  // of this router among the live voters
+  router_address preferred;         // the first of them
+  instant preferred_since{};
+  bool owner_known = false;  // a live router says that it holds the shard
+  instant unowned_since{};
+  router_address handed_to;  // who was to take the shard over
+  std::uint32_t failed_handovers = 0;
 };
 
 struct claim_table {
   std::map<shard_key, claim> claims;
+
+  // What the choices in the rows were made from.
+  std::uint64_t seen_generation = 0;
+  std::uint64_t seen_list_version = 0;
+  std::uint64_t seen_config_version = 0;
+  bool seen_list = false;
+  bool seen_leaving = false;
 };
 
-// A change of what this router holds.
+// A change of what this router holds. `released` comes when use stops, which is
+// before the voters are told.
 struct lease_event {
   enum class kind { acquired, lost, released } what = kind::acquired;
   shard_key shard;
@@ -84,6 +126,9 @@
   const fleet_config& fleet;
   std::uint64_t config_version;
   bool stopping;  // this router shuts down: release everything
+  // Least fencing number of a new tenure, e.g. seconds of the wall clock. Keeps
+  // the numbers growing if all voters have restarted. 0: none.
+  std::uint64_t fencing_floor = 0;
 };
 
 // Claims shards this router is preferred for and nobody holds, renews what it
@@ -112,4 +157,8 @@
 std::vector<shard_key> held_shards(const claim_table& claims, const lease_context& context,
                                    instant now);
 
+// True while a shard has been given up but its voters have not been told yet. A
+// router that shuts down goes on ticking until this is false.
+bool release_pending(const claim_table& claims);
+
 }  // namespace peridot
--- a/core/membership.h
+++ b/core/membership.h
@@ -16,6 +16,7 @@
 // Thread safety: none; one loop owns the table.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -42,9 +43,22 @@
   std::uint64_t config_digest = 0;
   std::uint64_t list_version = 0;
   bool watches_service = false;
-  std::vector<shard_key> owned;  // shards it says it holds
+  std::vector<shard_key> owned;       // shards it says it holds
+  bool listed = false;                // in the newest list
+  bool list_leaving = false;          // the list shows it leaving
+  std::deque<std::uint64_t> retired;  // earlier incarnations, at most `max_retired`
 };
 
+// Earlier incarnations of one address that are remembered, so that a late
+// heartbeat of an earlier run is not taken for another restart.
+inline constexpr std::size_t max_retired = 8;
+
+// Up to this many peers all get every heartbeat; see docs/design/membership.md.
+inline constexpr std::size_t full_mesh_peers = 24;
+
+// Peers per heartbeat round outside the bounded set of a large fleet.
+inline constexpr std::size_t rotating_peers = 4;
+
 struct membership_table {
   router_identity self;
   domain_name domain;
@@ -53,6 +67,11 @@
   std::map<router_address, member> members;  // never contains self
   std::vector<router_address> seeds;
   instant next_heartbeat{};
+  instant next_scan{};                // no peer can fall silent before this
+  std::uint64_t list_version = 0;     // of the list that was taken in last
+  bool has_list = false;              // a list was taken in
+  std::uint64_t generation = 1;       // grows whenever a choice made from the view may change
+  std::uint64_t heartbeat_round = 0;  // rounds sent, turns the rotating peers
 };
 
 // What this router tells its peers about itself.
@@ -62,6 +81,7 @@
   std::uint64_t list_version = 0;
   std::vector<shard_key> owned;
   std::vector<wire::suspect> suspects;
+  std::vector<shard_key> shards;  // all of the configuration; used above `full_mesh_peers` only
 };
 
 membership_table make_membership(const router_identity& self, const domain_name& domain,
@@ -78,6 +98,12 @@
 void send_heartbeats(membership_table& table, const fleet_config& fleet, const local_status& local,
                      instant now, outbox& out);
 
+// Who gets the heartbeat of this round: all peers up to `full_mesh_peers`, else
+// co-voters of the shards this router votes for, voters of the shards it holds,
+// watchers of its failure domain and `rotating_peers` others. Sorted.
+std::vector<router_address> heartbeat_targets(const membership_table& table,
+                                              const fleet_config& fleet, const local_status& local);
+
 // What a heartbeat told.
 enum class heartbeat_effect { known, first_contact, restarted };
 heartbeat_effect on_heartbeat(membership_table& table, const router_identity& from,
