--- a/tools/peridot_experiment_main.cc
+++ b/tools/fleet_experiment_main.cc
@@ -1,4 +1,4 @@
-// peridot_experiment: seeded proofs and measurements under virtual time.
+// fleet_experiment: seeded proofs and measurements under virtual time.
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -59,11 +59,11 @@
     }
   }
   if (rows.empty()) {
-    std::fprintf(stderr, "peridot_experiment: --scenario=%s is not known\n", only.c_str());
+    std::fprintf(stderr, "fleet_experiment: --scenario=%s is not known\n", only.c_str());
     return exit_usage;
   }
   if (!path.empty() && !peridot::experiment::write_report(rows, seed, path)) {
-    std::fprintf(stderr, "peridot_experiment: --report=%s cannot be written\n", path.c_str());
+    std::fprintf(stderr, "fleet_experiment: --report=%s cannot be written\n", path.c_str());
     return exit_usage;
   }
   return 0;
@@ -74,18 +74,18 @@
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
       "Runs fleets under virtual time.\n\n"
-      "  peridot_experiment --mode=seeds --first_seed=1 --seeds=100\n"
-      "  peridot_experiment --mode=measure --report=report.md\n\n"
+      "  fleet_experiment --mode=seeds --first_seed=1 --seeds=100\n"
+      "  fleet_experiment --mode=measure --report=report.md\n\n"
       "Exit status: 0, 1 if an invariant was violated, 2 for a bad flag.");
   absl::FlagsUsageConfig usage;
-  usage.version_string = []() { return std::string("peridot_experiment 0.1.0\n"); };
+  usage.version_string = []() { return std::string("fleet_experiment 0.1.0\n"); };
   absl::SetFlagsUsageConfig(usage);
   absl::ParseCommandLine(argc, argv);
   const std::uint64_t first = absl::GetFlag(FLAGS_first_seed);
   const std::uint64_t count = absl::GetFlag(FLAGS_seeds);
   const std::string mode = absl::GetFlag(FLAGS_mode);
   if (count < 1 || count > most_seeds) {
-    std::fprintf(stderr, "peridot_experiment: --seeds must be from 1 to 1000000\n");
+    std::fprintf(stderr, "fleet_experiment: --seeds must be from 1 to 1000000\n");
     return exit_usage;
   }
   if (mode == "seeds") {
@@ -94,6 +94,6 @@
   if (mode == "measure") {
     return run_measurements(first, absl::GetFlag(FLAGS_scenario), absl::GetFlag(FLAGS_report));
   }
-  std::fprintf(stderr, "peridot_experiment: --mode must be seeds or measure\n");
+  std::fprintf(stderr, "fleet_experiment: --mode must be seeds or measure\n");
   return exit_usage;
 }
