--- a/experiment/fleet_callers.cc
+++ b/experiment/fleet_callers.cc
@@ -212,7 +212,11 @@
 }  // namespace
 
 void send_call(fleet_state& fleet, std::uint64_t id) {
-  caller_call& call = fleet.calls.at(id);
+  std::map<std::uint64_t, caller_call>::iterator sent = fleet.calls.find(id);
+  if (sent == fleet.calls.end()) {
+    return;  // answered over another connection in the meantime
+  }
+  caller_call& call = sent->second;
   ++call.sends;
   const std::size_t index = choose_router(fleet, fleet.options.callers[call.group]);
   schedule_in(fleet.queue, caller_way, [&fleet, id, index]() {
