Tell callers of a run that their connection broke, also while their router was paused

Cause: a call that had reached a paused router was forgotten when that router was killed, so its caller waited for ever and the run reported it as unanswered. Change: a router of a run keeps the calls whose connections end at it.

--- a/experiment/fleet_callers.cc
+++ b/experiment/fleet_callers.cc
@@ -37,6 +37,12 @@
 
 void end_call(fleet_state& fleet, std::uint64_t id, const std::string& what);
 
+void close_connections(fleet_state& fleet, std::uint64_t id) {
+  for (driven_router& router : fleet.routers) {
+    router.open_calls.erase(id);
+  }
+}
+
 void send_later(fleet_state& fleet, std::uint64_t id, duration pause) {
   schedule_in(fleet.queue, pause, [&fleet, id]() { send_call(fleet, id); });
 }
@@ -48,6 +54,7 @@
   if (found == fleet.calls.end()) {
     return;
   }
+  close_connections(fleet, id);
   if (found->second.sends < max_sends) {
     send_later(fleet, id, std::max(pause, resend_pause));
   } else {
@@ -149,9 +156,6 @@
     send_again_or_end(fleet, call.id, std::chrono::seconds{1}, "unknown_issuer_unreachable");
     return;
   }
-  if (issuer->index != router.index) {
-    router.relayed.insert(call.id);
-  }
   begin_keyed(fleet, *issuer, call, *key);
 }
 
@@ -203,6 +207,7 @@
   }
   const caller_group& group = fleet.options.callers[call.group];
   const std::size_t group_index = call.group;
+  close_connections(fleet, id);
   fleet.calls.erase(id);
   if (group.backlog > 0 && is_sending(fleet, group)) {
     send_call(fleet, add_call(fleet, group_index));
@@ -225,6 +230,7 @@
       send_again_or_end(fleet, id, resend_pause, "not_run_no_router");
       return;
     }
+    router.open_calls.insert(id);
     on_router(fleet, index, router.generation, [&fleet, id](driven_router& running) {
       std::map<std::uint64_t, caller_call>::iterator found = fleet.calls.find(id);
       if (found == fleet.calls.end()) {
--- a/experiment/fleet_routers.cc
+++ b/experiment/fleet_routers.cc
@@ -102,12 +102,12 @@
 
 // The callers of a router that ended see their connections break.
 void break_connections(fleet_state& fleet, driven_router& router) {
-  std::vector<std::uint64_t> broken;
+  std::set<std::uint64_t> broken = std::exchange(router.open_calls, {});
   for (const std::pair<const std::uint64_t, attempt>& entry : router.attempts) {
-    broken.push_back(entry.second.call);
+    broken.insert(entry.second.call);
   }
   for (const std::pair<const std::uint64_t, std::vector<std::uint64_t>>& entry : router.joined) {
-    broken.insert(broken.end(), entry.second.begin(), entry.second.end());
+    broken.insert(entry.second.begin(), entry.second.end());
   }
   // A target notices the closed connection and drops the run.
   for (std::pair<const target_name, fake_target>& entry : fleet.targets) {
@@ -122,10 +122,8 @@
       return own;
     });
   }
-  broken.insert(broken.end(), router.relayed.begin(), router.relayed.end());
   router.attempts.clear();
   router.joined.clear();
-  router.relayed.clear();
   for (std::uint64_t call : broken) {
     on_connection_broken(fleet, call);
   }
@@ -150,7 +148,7 @@
 }
 
 void on_router(fleet_state& fleet, std::size_t index, std::uint64_t generation,
-               std::function<void(driven_router&)> work) {
+               const std::function<void(driven_router&)>& work) {
   driven_router& router = fleet.routers[index];
   if (router.core == nullptr || router.generation != generation) {
     return;
--- a/experiment/fleet_state.h
+++ b/experiment/fleet_state.h
@@ -37,7 +37,7 @@
   int group = 0;                              // routers of different groups cannot reach each other
   std::map<std::uint64_t, attempt> attempts;  // by request id
   std::map<std::uint64_t, std::vector<std::uint64_t>> joined;  // key sequence to waiting calls
-  std::set<std::uint64_t> relayed;  // calls whose connection ends here, run by their key's issuer
+  std::set<std::uint64_t> open_calls;  // calls whose caller has a connection to this router
   std::uint64_t highest_config = 0;
   std::uint64_t bytes = 0;
   std::uint64_t periodic_bytes = 0;
@@ -104,7 +104,7 @@
 
 // Runs `work` in this incarnation of the router: now, after its pause, or never.
 void on_router(fleet_state& fleet, std::size_t index, std::uint64_t generation,
-               std::function<void(driven_router&)> work);
+               const std::function<void(driven_router&)>& work);
 
 // fleet_targets.cc
 void dispatch_run(fleet_state& fleet, std::size_t index, const dispatch& what);
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -128,8 +128,7 @@
   const int made = evhttp_make_request(handle->connection, request, method, call.path.c_str());
   if (made != 0) {
     // The library has freed the request, and nothing was sent.
-    std::shared_ptr<client_call> failed = handle;
-    run_later(base, [failed]() { finish(*failed, call_end::refused); });
+    run_later(base, [handle]() { finish(*handle, call_end::refused); });
   }
   return handle;
 }
