Test how a shard changes hands, and what leases cost

Cause: the random test shows safety, not how long a shard is without a holder.

Change: stories for fleets without a list, a planned stop, a holder that vanishes and returns, an older configuration, and a quiet fleet.

--- a/core/testing/lease_fleet.h
+++ b/core/testing/lease_fleet.h
@@ -66,7 +66,8 @@
   std::size_t double_holds = 0;
   std::size_t stale_numbers = 0;
   std::map<shard_key, true_time> unheld;  // time without a holder
-  std::size_t bytes_sent = 0;
+  std::size_t bytes_sent = 0;             // bodies, without the mesh's own fields
+  std::size_t messages_sent = 0;
 };
 
 lease_fleet make_fleet(std::size_t routers, std::size_t shards, std::uint64_t seed,
--- a/core/testing/lease_fleet_test.cc
+++ b/core/testing/lease_fleet_test.cc
@@ -31,6 +31,7 @@
 void send(lease_fleet& fleet, const process& who, outbox& out) {
   for (outgoing_message& message : out) {
     fleet.bytes_sent += message.message.ByteSizeLong();
+    ++fleet.messages_sent;
     const int copies = chance(fleet, fleet.doubled) ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
       if (!chance(fleet, fleet.loss)) {
--- a/core/testing/lease_test.cc
+++ b/core/testing/lease_test.cc
@@ -16,6 +16,9 @@
 constexpr std::uint64_t random_seeds = 400;
 constexpr std::uint64_t mutation_seeds = 100;
 
+// What the mesh adds to a body: identities, sequence and authentication code.
+constexpr std::size_t mesh_overhead_bytes = 97;
+
 // Odd seeds run a fleet of four, where few faults make a majority.
 std::size_t size_for(std::uint64_t seed) {
   return seed % 2 == 0 ? 10 : 4;
@@ -190,6 +193,88 @@
   }
 }
 
+// The index of the router that holds the first shard.
+std::size_t holder_of(const lease_fleet& fleet) {
+  for (std::size_t i = 0; i < fleet.processes.size(); ++i) {
+    const std::map<shard_key, claim>& claims = fleet.processes[i].claims.claims;
+    const auto found = claims.find(fleet.shards[0]);
+    if (found != claims.end() && found->second.was_held) {
+      return i;
+    }
+  }
+  return fleet.processes.size();
+}
+
+TEST_CASE("a small fleet without a list") {
+  for (std::size_t routers : {1, 2, 3}) {
+    CAPTURE(routers);
+    lease_fleet fleet = make_fleet(routers, 3, 1, mutation::none);
+    run(fleet, milliseconds{1'900});
+    CHECK(holders(fleet, fleet.shards[0]) == 0);
+    run(fleet, milliseconds{1'100});
+    CHECK(all_held_once(fleet));
+  }
+}
+
+TEST_CASE("a shard changes hands") {
+  lease_fleet fleet = make_fleet(9, 9, 1, mutation::none);
+  fleet.fleet.suspect_after = milliseconds{2'000};
+  run(fleet, seconds{6});
+  REQUIRE(all_held_once(fleet));
+  const std::size_t first = holder_of(fleet);
+  const router_identity before = fleet.processes[first].self;
+  fleet.unheld.clear();
+
+  SUBCASE("when its holder stops, after the grants it made are void") {
+    fleet.processes[first].stopping = true;
+    fleet.processes[first].members.leaving = true;
+    run(fleet, milliseconds{400});
+    CHECK(release_pending(fleet.processes[first].claims));
+    CHECK(holders(fleet, fleet.shards[0]) == 0);
+    run(fleet, milliseconds{1'100});
+    CHECK_FALSE(release_pending(fleet.processes[first].claims));
+    CHECK(all_held_once(fleet));
+  }
+
+  SUBCASE("when its holder vanishes, and back when it has returned") {
+    fleet.processes[first].paused_until = fleet.now + seconds{5};
+    run(fleet, seconds{5});
+    CHECK(all_held_once(fleet));
+    CHECK(holder_of(fleet) != first);
+    restart(fleet, fleet.processes[first]);
+    run(fleet, seconds{8});
+    CHECK(all_held_once(fleet));
+    CHECK(holder_of(fleet) == first);
+    CHECK(fleet.processes[first].self != before);
+    MESSAGE("without a holder: ", fleet.unheld[fleet.shards[0]].count() / 1'000, " ms");
+    CHECK(fleet.unheld[fleet.shards[0]] < milliseconds{4'000});
+  }
+
+  SUBCASE("when its holder is the last one with an older configuration") {
+    for (testing::process& who : fleet.processes) {
+      who.config_version = 2;
+    }
+    fleet.processes[first].config_version = 1;
+    run(fleet, fleet.fleet.lease);
+    CHECK(holder_of(fleet) != first);
+    run(fleet, seconds{6});
+    CHECK(all_held_once(fleet));
+  }
+
+  SUBCASE("but not without cause, and at a small cost") {
+    fleet.bytes_sent = 0;
+    fleet.messages_sent = 0;
+    run(fleet, seconds{10});
+    CHECK(holder_of(fleet) == first);
+    CHECK(fleet.unheld[fleet.shards[0]] == testing::true_time{0});
+    const std::size_t bytes = fleet.bytes_sent / 90;  // per router and second
+    const std::size_t messages = fleet.messages_sent / 90;
+    MESSAGE(messages, " messages of ", bytes, " bytes in all, per router and second");
+    CHECK(bytes + messages * mesh_overhead_bytes < 6'000);
+  }
+  CHECK(fleet.double_holds == 0);
+}
+
 TEST_CASE("quorums of views that differ by the slack share a voter") {
   CHECK(quorum_size(1) == 1);
   CHECK(quorum_size(2) == 2);
