--- a/core/document_tree.cc
+++ b/core/document_tree.cc
@@ -4,12 +4,13 @@
 // The parser of the library asserts what bad input can violate, e.g. a table
 // header that does not start with a key. Bad input must not end the process, and
 // with NDEBUG the same expressions are assumptions of the optimizer. So an
-// assertion throws here, and the document is refused. It carries no position; the
-// line is found by bisection over the prefixes of the document, at most 20 more
-// parses of a text of max_document_bytes.
+// assertion throws here, and the document is refused. It carries no position: how
+// much of a stream the parser has taken by then narrows it to a few lines, and
+// bisection over the prefixes of the document finds the line among them.
 #include "core/document_tree.h"
 
 #include <algorithm>
+#include <sstream>
 
 #include "core/name_text.h"
 
@@ -40,6 +41,9 @@
 
 static_assert(TOML_MAX_NESTED_VALUES == max_document_nesting);
 
+// Upper bound of what the parser reads from a stream ahead of what it looks at.
+constexpr std::size_t max_read_ahead_bytes = 128;
+
 std::size_t line_of(const toml::source_region& region) {
   return std::max<std::size_t>(1, region.begin.line);
 }
@@ -137,14 +141,31 @@
   return false;
 }
 
+// How many bytes the parser takes from a stream until it violates an assertion.
+std::size_t bytes_until_assertion(std::string_view text) {
+  std::istringstream stream{std::string{text}};
+  try {
+    const toml::table ignored = toml::parse(stream);
+  } catch (const toml::parse_error&) {
+    return text.size();
+  } catch (const parser_assertion&) {
+    const std::streamoff taken = stream.tellg();
+    return taken < 0 ? text.size() : static_cast<std::size_t>(taken);
+  }
+  return text.size();
+}
+
 // 1-based number of the line whose parsing violates an assertion. Precondition:
 // parsing the whole text does. The parser reads forwards, so that prefixes which
 // hold the line violate it and shorter ones do not.
 std::size_t asserting_line(std::string_view text) {
   const std::vector<std::size_t> ends = line_ends(text);
-  auto found = std::partition_point(ends.begin(), ends.end(), [text](std::size_t end) {
-    return !violates_assertion(text.substr(0, end));
-  });
+  const std::size_t taken = bytes_until_assertion(text);
+  const std::size_t passed = taken - std::min(taken, max_read_ahead_bytes);
+  auto first = std::upper_bound(ends.begin(), ends.end(), passed);
+  auto last = std::lower_bound(first, ends.end(), taken);
+  auto found = std::partition_point(
+      first, last, [text](std::size_t end) { return !violates_assertion(text.substr(0, end)); });
   const std::size_t line = static_cast<std::size_t>(found - ends.begin()) + 1;
   return std::min(line, ends.size());
 }
--- a/core/testing/config_checker_test.cc
+++ b/core/testing/config_checker_test.cc
@@ -143,6 +143,17 @@
     REQUIRE(result.errors.size() == 1);
     CHECK(to_text(result.errors[0]) == "f:2: target: has 20001 tables, at most 20000 are allowed");
   }
+  SUBCASE("an assertion of the parser is a refusal with its line, wherever it stands") {
+    for (int before = 0; before < 40; ++before) {
+      std::string text = "version = 1\n";
+      for (int index = 0; index < before; ++index) {
+        text += index % 3 == 0 ? "\n" : "k" + std::to_string(index) + " = 1\n";
+      }
+      const config_result result = parse_published_config(text + "[=a]\n\nb = 1\n", "f");
+      REQUIRE(result.errors.size() == 1);
+      CHECK(result.errors[0].line == static_cast<std::size_t>(before) + 2);
+    }
+  }
   SUBCASE("size, line length and depth are bounded") {
     const config_result large = parse_published_config(std::string((1 << 20) + 1, '\n'), "f");
     CHECK(large.errors.at(0).problem == "the document is longer than 1048576 bytes");
