--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,7 +4,7 @@
 # only if no call ran twice, no answer was cut or wrong, every "not run" was
 # true, and every process ended with 0. scripts/fleet.sh lists the variables.
 set -uo pipefail
-cd "$(dirname "$0")/.."
+cd "$(dirname "$0")/.." || exit 1
 seconds=${PERIDOT_SECONDS:-20}
 seed=${PERIDOT_SEED:-1}
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -36,14 +36,14 @@
     fleet_large=(almaty-schools turkistan-hosts tour-desks)
     fleet_small=(abay-house burabay-trails charyn-guides esik-museum kolsai-stays medeu-visits
       otrar-digs saryarka-steppe semey-archive shymkent-desk taraz-old-town tamgaly-art zharkent-mosque)
-    fleet_side_effect=reserve
+    fleet_side_effect="reserve"
     ;;
   cuaderno-quetzal)
     fleet_domains=(guatemala-a guatemala-b guatemala-c)
     fleet_large=(bank-risk coffee-exporters ministry-finance)
     fleet_small=(antigua-lab atitlan-data bank-audit bank-branches bank-credit cardamom-trade
       coban-growers customs-desk health-survey huehue-mill statistics-office tax-review xela-campus)
-    fleet_side_effect=export
+    fleet_side_effect="export"
     ;;
   *)
     echo "fleet: PERIDOT_DEPLOYMENT must be ashyq-esik or cuaderno-quetzal" >&2
--- a/standins/load_client.cc
+++ b/standins/load_client.cc
@@ -45,6 +45,8 @@
   if (caller.plain) {
     ++organisation.units;
     attempt.first_token = now;
+  } else {
+    add_sample(organisation.first_token, attempt.first_token - call.arrived);
   }
   add_sample(client.counts.first_token[caller.profile], attempt.first_token - call.arrived);
   close_call(client, id, "answered");
--- a/standins/load_summary.cc
+++ b/standins/load_summary.cc
@@ -28,14 +28,16 @@
   }
 }
 
-void print_organisations(std::ostream& out, const load_counts& counts) {
-  out << "  organisation                   calls  answered     units  units/weight\n";
-  for (const std::pair<const organisation_name, organisation_counts>& entry :
-       counts.organisations) {
-    const organisation_counts& row = entry.second;
-    out << "    " << std::left << std::setw(24) << entry.first.value << std::right << std::setw(8)
-        << row.calls << std::setw(10) << row.answered << std::setw(10) << row.units << std::setw(14)
-        << std::fixed << std::setprecision(0) << static_cast<double>(row.units) / row.weight
+void print_organisations(std::ostream& out, load_counts& counts) {
+  out << "  organisation            calls answered    units units/weight   first token, ms p50     "
+         "p95\n"
+      << std::fixed << std::setprecision(0);
+  for (std::pair<const organisation_name, organisation_counts>& entry : counts.organisations) {
+    organisation_counts& row = entry.second;
+    out << "    " << std::left << std::setw(18) << entry.first.value << std::right << std::setw(7)
+        << row.calls << std::setw(9) << row.answered << std::setw(9) << row.units << std::setw(13)
+        << static_cast<double>(row.units) / row.weight << std::setw(22)
+        << percentile(row.first_token, 0.50) << std::setw(8) << percentile(row.first_token, 0.95)
         << "\n";
   }
 }
@@ -115,10 +117,11 @@
   out << "broken=" << counts.broken << "\ncut=" << counts.cut << "\nwrong=" << counts.wrong
       << "\nunreached=" << counts.unreached << "\nnot_sent=" << counts.not_sent
       << "\nunfinished=" << counts.unfinished << "\nsent_again=" << counts.sent_again << "\n";
-  for (const std::pair<const organisation_name, organisation_counts>& entry :
-       counts.organisations) {
-    out << "units." << entry.first.value << "=" << entry.second.units << "\n";
-    out << "answered." << entry.first.value << "=" << entry.second.answered << "\n";
+  for (std::pair<const organisation_name, organisation_counts>& entry : counts.organisations) {
+    organisation_counts& row = entry.second;
+    out << "units." << entry.first.value << "=" << row.units << "\nanswered." << entry.first.value
+        << "=" << row.answered << "\nfirst_token_p95_ms." << entry.first.value << "="
+        << percentile(row.first_token, 0.95) << "\n";
   }
   for (std::pair<const profile_name, std::vector<double>>& entry : counts.first_token) {
     out << "first_token_p50_ms." << entry.first.value << "=" << percentile(entry.second, 0.50)
--- a/standins/load_summary.h
+++ b/standins/load_summary.h
@@ -19,6 +19,7 @@
   std::uint64_t answered = 0;
   std::uint64_t units = 0;  // tokens received, and one for each record
   double weight = 1;
+  std::vector<double> first_token;  // milliseconds from arrival, of engines' answers
 };
 
 struct load_counts {
