--- a/core/testing/entry_random_test.cc
+++ b/core/testing/entry_random_test.cc
@@ -181,7 +181,7 @@
   wire::grant grant = make_grant(r.b, below(r, 3) == 0 ? schools : guides, below(r, 4) == 0,
                                  below(r, 12) == 0 ? "engine-3" : "engine-1");
   grant.set_config_version(3 - (below(r, 12) == 0 ? 1 : 0));
-  grant.set_demand_sent_at_us(grant.demand_sent_at_us() - below(r, 500) * 1'000);
+  grant.set_demand_sent_at_us(grant.demand_sent_at_us() - std::uint64_t{below(r, 500)} * 1'000);
   if (!r.grants.empty() && below(r, 3) == 0) {
     grant = r.grants[r.grants.size() - 1 -
                      below(r, std::min<std::uint32_t>(
