Add prompts that crash an engine before any token, and callers that repeat them

Cause: a call that has begun its answer is not tried again, so the prompt that crashes an engine after its first token never reached a second engine. Weighed: a control request that arms the next call. Ruled out: the crash must follow the request through whichever router and engine it takes. Change: crash-before-first-token in a prompt; same_body=1 in a mix.

--- a/standins/engine_model.cc
+++ b/standins/engine_model.cc
@@ -68,9 +68,11 @@
               std::uint32_t running, instant now, std::vector<engine_event>& events) {
   engine_call& call = table.calls.at(id);
   while (call.next < call.tokens && (call.next < call.cached || call.next_token <= now)) {
-    events.push_back(engine_event{engine_event_kind::token, id, call.next});
-    make_token(table, options, call, running);
-    if (call.crashes) {
+    if (call.harm != poison::before_first_token) {
+      events.push_back(engine_event{engine_event_kind::token, id, call.next});
+      make_token(table, options, call, running);
+    }
+    if (call.harm != poison::none) {
       events.push_back(engine_event{engine_event_kind::crash, id, 0});
       return true;
     }
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -44,6 +44,13 @@
   std::size_t kept_answers = 256;
 };
 
+// What a call does to the engine that runs it.
+enum class poison {
+  none,
+  before_first_token,  // crashes it without any part of an answer
+  after_first_token,
+};
+
 struct engine_call {
   std::string request_id;
   organisation_name organisation;
@@ -51,7 +58,7 @@
   std::uint32_t tokens = 0;  // of the whole answer
   std::uint32_t next = 0;    // index of the next token to send
   std::uint32_t cached = 0;  // tokens below this index exist already
-  bool crashes = false;      // crashes the engine after its first token
+  poison harm = poison::none;
   bool running = false;
   instant next_token{};
 };
--- a/standins/engine_standin_main.cc
+++ b/standins/engine_standin_main.cc
@@ -36,6 +36,7 @@
 using clock = std::chrono::steady_clock;
 
 constexpr const char* crash_marker = "crash-this-engine";
+constexpr const char* early_crash_marker = "crash-before-first-token";
 
 struct stream {
   evhtp_request_t* request = nullptr;
@@ -74,6 +75,14 @@
   }
 }
 
+poison harm_of(const std::string& body) {
+  if (body.find(early_crash_marker) != std::string::npos) {
+    return poison::before_first_token;
+  }
+  const bool harmful = body.find(crash_marker) != std::string::npos;
+  return harmful ? poison::after_first_token : poison::none;
+}
+
 void on_generate(evhtp_request_t* request, void* arg) {
   engine& self = *static_cast<engine*>(arg);
   const std::string body = request_body(request);
@@ -86,7 +95,7 @@
   call.organisation.value = request_header(request, "X-Organisation").value_or("none");
   call.prompt_hash = body_hash(body);
   call.tokens = answer_tokens(self.options, call.prompt_hash, limit);
-  call.crashes = body.find(crash_marker) != std::string::npos;
+  call.harm = harm_of(body);
   begin_call(self, call, request);
 }
 
--- a/standins/load_mix.cc
+++ b/standins/load_mix.cc
@@ -58,6 +58,9 @@
   if (key == "plain") {
     return read_flag(value, caller.plain);
   }
+  if (key == "same_body") {
+    return read_flag(value, caller.same_body);
+  }
   if (key == "start_after_ms") {
     return read_milliseconds(value, caller.start_after);
   }
@@ -131,7 +134,8 @@
 
 std::string make_body(const caller_config& caller, std::uint64_t seed, std::uint64_t number) {
   std::string body = caller.body_prefix;
-  body += " call " + std::to_string(seed) + "-" + std::to_string(number) + " of ";
+  const std::uint64_t shown = caller.same_body ? 0 : number;
+  body += " call " + std::to_string(seed) + "-" + std::to_string(shown) + " of ";
   body += caller.organisation.value + ":";
   while (body.size() < caller.body_bytes) {
     body += " listing";
--- a/standins/load_mix.h
+++ b/standins/load_mix.h
@@ -35,6 +35,7 @@
   std::uint32_t max_tokens = 0;                 // sent as a header; 0: not sent
   std::uint32_t body_bytes = 200;               // of the prompt, at least
   std::string body_prefix;
+  bool same_body = false;  // all calls have one body, as of a caller that sends it again
 };
 
 struct mix_result {
@@ -47,7 +48,7 @@
 // Time to the next arrival. Precondition: the rate is above 0.
 duration next_gap(const caller_config& caller, std::mt19937_64& random);
 
-// A body that no other call of this run has.
+// A body that no other call of this run has, unless the caller asks for one body.
 std::string make_body(const caller_config& caller, std::uint64_t seed, std::uint64_t number);
 
 // Index of the router for one attempt. An organisation that uses only some
--- a/standins/testing/engine_model_test.cc
+++ b/standins/testing/engine_model_test.cc
@@ -114,16 +114,23 @@
     CHECK(run_until(table, options, now, now + 500ms).empty());
     CHECK(run_until(table, options, now, now + 1s).size() == 27);
   }
-  SUBCASE("a poisonous call crashes it after one token") {
-    engine_call poison = call_of(20);
-    poison.crashes = true;
+  SUBCASE("a poisonous call crashes it before or after its first token") {
+    engine_call harmful = call_of(20);
+    std::uint32_t tokens = 0;
+    SUBCASE("before") {
+      harmful.harm = poison::before_first_token;
+    }
+    SUBCASE("after") {
+      harmful.harm = poison::after_first_token;
+      tokens = 1;
+    }
     cancel_call(table, options, first);
-    add_call(table, options, poison);
+    add_call(table, options, harmful);
     cancel_call(table, options, third);
     const std::vector<engine_event> events = run_until(table, options, now, now + 1s);
     REQUIRE(!events.empty());
     CHECK(events.back().kind == engine_event_kind::crash);
-    CHECK(table.calls.at(events.back().call).next == 1);
+    CHECK(table.calls.at(events.back().call).next == tokens);
   }
 }
 
