--- a/experiment/fleet.h
+++ b/experiment/fleet.h
@@ -109,10 +109,10 @@
   double control_bytes_per_second = 0;   // a router, mean, all peer messages
   double periodic_bytes_per_second = 0;  // of that, what does not follow from requests
   double service_calls_per_second = 0;   // to the platform's service, whole fleet
-  duration first_unit_p50{};
+  duration first_unit_p50{};             // of organisations that are not backlogged
   duration first_unit_p95{};
-  duration longest_config_spread{};  // from publication until all live routers had it
-  duration latest_withdrawn_work{};  // from publication until the last new work there
+  duration longest_config_spread{};  // from the first acceptance until all running routers had it
+  duration latest_withdrawn_work{};  // from the first acceptance until the last new work there
   std::map<organisation_name, double> units;
   std::vector<service_sample> samples;
 };
--- a/experiment/fleet_state.h
+++ b/experiment/fleet_state.h
@@ -66,10 +66,10 @@
   instant down_until{};
   instant stale_until{};
   std::uint64_t calls = 0;
-  std::map<std::uint64_t, instant> published;  // by configuration version
+  std::map<std::uint64_t, instant> accepted;  // first, by configuration version
   std::set<domain_name> out;
   std::set<target_name> drained;
-  std::map<target_name, instant> withdrawn_since;
+  std::map<target_name, std::uint64_t> withdrawn_by;  // configuration version
 };
 
 struct fleet_state {
