State the invariants of tenures, and forget routers that are no voters any more

Cause: during a long tenure the routers asked were remembered although replaced; the invariants of a tenure stood in comments only.

Change: claims drop what they know of routers outside the voters; checks that a running lease is not granted to another, and that tenures are numbered and do not nest.

--- a/core/lease.cc
+++ b/core/lease.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/check.h"
 #include "core/lease_claim.h"
 #include "core/lease_voter.h"
 
@@ -149,6 +150,8 @@
 }
 
 void begin_tenure(tick_state& tick, const shard_key& shard, claim& row) {
+  PERIDOT_CHECK(!row.was_held && !row.releasing, "a tenure begins within another");
+  PERIDOT_CHECK(row.fencing > 0, "a tenure has no number");
   row.campaigning = false;
   row.was_held = true;
   row.held_since = tick.now;
--- a/core/lease_claim.cc
+++ b/core/lease_claim.cc
@@ -95,6 +95,18 @@
   row.electors.erase(std::unique(row.electors.begin(), row.electors.end()), row.electors.end());
 }
 
+// Forgets what is known of routers that are no electors any more, so that a long
+// tenure does not collect them. A lease they may have granted ends by itself.
+void forget_others(claim& row) {
+  const auto is_other = [&row](const router_address& address) {
+    return !std::binary_search(row.electors.begin(), row.electors.end(), address);
+  };
+  std::erase_if(row.asked, is_other);
+  std::erase_if(row.granted_until, [&is_other](const std::pair<const router_address, instant>& e) {
+    return is_other(e.first);
+  });
+}
+
 // Takes the voters of a new list. The old ones matter for `view_overlap`, unless
 // this router has just started and nothing rested on them.
 void change_voters(claim& row, std::vector<router_address> voters, duration lease, instant now) {
@@ -220,6 +232,7 @@
     row.earlier.pop_front();
   }
   collect_electors(row);
+  forget_others(row);
   update_ends(row, now);
 }
 
--- a/core/lease_voter.cc
+++ b/core/lease_voter.cc
@@ -55,12 +55,13 @@
     late.what = vote_result::kind::ignored;
     return late;
   }
+  PERIDOT_CHECK(!running || same_holder, "a running lease is granted to another holder");
   const std::uint64_t least = running ? record.fencing : record.fencing + 1;
   record.fencing = std::max(asked.fencing, least);
   record.holder = asked.claimant;
   record.newest_sent_at_us = asked.sent_at_us;
   record.expires = std::max(record.expires, now + asked.lease);
-  PERIDOT_CHECK(now < record.expires, "a grant must run");
+  PERIDOT_CHECK(now < record.expires, "a grant does not run");
   vote_result granted;
   granted.what = vote_result::kind::granted;
   granted.fencing = record.fencing;
