Keep a late heartbeat from displacing a live peer; shorten handovers

A heartbeat of a run that had not been heard in its time arrived late, was taken for a restart, and the present run counted as an earlier one from then on. Also, each refusal by a holder lengthened the pause of the router that waited for it.

Weighed: remembering more incarnations (can't know those never heard), accepting a flip back (restarts would be reported that did not happen), and proof by the echoed time of this router's clock. The last is built; a restart is noticed one heartbeat later.

Change: accept_incarnation; failed campaigns count only when the votes were split, and a refused candidate waits its turn again.

--- a/core/lease.cc
+++ b/core/lease.cc
@@ -145,8 +145,12 @@
 
 void end_campaign(tick_state& tick, const shard_key& shard, claim& row) {
   row.backoff_until = retry_at(row, shard, tick.context, tick.now);
+  const bool split = !row.granted_until.empty();
+  row.failed_campaigns += split ? 1 : 0;
+  if (is_hopeless(row)) {
+    row.unowned_since = tick.now;  // another has it, or nobody can yet
+  }
   release_all(tick, shard, row);
-  ++row.failed_campaigns;
 }
 
 void begin_tenure(tick_state& tick, const shard_key& shard, claim& row) {
@@ -231,6 +235,11 @@
   }
 }
 
+// When the tenure ends; the epoch if there is none.
+instant end_of(const claim& row, const lease_context& context) {
+  return row.was_held && !context.stopping ? row.ends : instant{};
+}
+
 // True if a held shard is due: then all are renewed, in the same messages.
 bool renewal_due(const claim_table& claims, instant now) {
   for (const std::pair<const shard_key, claim>& entry : claims.claims) {
@@ -308,10 +317,7 @@
 instant held_until(const claim_table& claims, const lease_context& context,
                    const shard_key& shard) {
   const auto found = claims.claims.find(shard);
-  if (found == claims.claims.end() || !found->second.was_held || context.stopping) {
-    return instant{};
-  }
-  return found->second.ends;
+  return found == claims.claims.end() ? instant{} : end_of(found->second, context);
 }
 
 bool holds(const claim_table& claims, const lease_context& context, const shard_key& shard,
@@ -323,7 +329,7 @@
                                    instant now) {
   std::vector<shard_key> held;
   for (const std::pair<const shard_key, claim>& entry : claims.claims) {
-    if (holds(claims, context, entry.first, now)) {
+    if (now < end_of(entry.second, context)) {
       held.push_back(entry.first);
     }
   }
--- a/core/membership.cc
+++ b/core/membership.cc
@@ -104,20 +104,24 @@
   return message;
 }
 
-// True if the incarnation may speak for the address: it is not an earlier one.
-bool accept_incarnation(member& row, std::uint64_t incarnation) {
+// This router's clock when it sent the newest heartbeat that the sender had
+// seen; the epoch if it had seen none of this run. Proof that the sender ran later.
+instant echoed_time(const membership_table& table, const wire::heartbeat& message, instant now) {
+  const instant echoed = from_wire(message.echo_sent_at_us());
+  const bool of_this_run = message.echo_incarnation() == table.self.incarnation;
+  return of_this_run && echoed <= now ? echoed : instant{};
+}
+
+// True if the incarnation may speak for the address. Another one than the known
+// one must prove that it ran later, so that a late heartbeat of an earlier run
+// does not displace the present one; a restarted peer can with its second one.
+bool accept_incarnation(member& row, std::uint64_t incarnation, instant echoed) {
   if (row.identity.incarnation == incarnation) {
     return true;
   }
-  if (std::find(row.retired.begin(), row.retired.end(), incarnation) != row.retired.end()) {
+  if (row.identity.incarnation != 0 && echoed <= row.confirmed_until) {
     return false;
   }
-  if (row.identity.incarnation != 0) {
-    row.retired.push_back(row.identity.incarnation);
-  }
-  if (row.retired.size() > max_retired) {
-    row.retired.pop_front();
-  }
   row.identity.incarnation = incarnation;
   row.newest_sent_at_us = 0;
   row.confirmed_until = instant{};
@@ -200,7 +204,8 @@
   member& row = table.members[from.address];
   row.identity.address = from.address;
   const std::uint64_t before = row.identity.incarnation;
-  if (!accept_incarnation(row, from.incarnation)) {
+  const instant echoed = echoed_time(table, message, now);
+  if (!accept_incarnation(row, from.incarnation, echoed)) {
     return heartbeat_effect::known;
   }
   if (message.sent_at_us() <= row.newest_sent_at_us && before == from.incarnation) {
@@ -208,10 +213,7 @@
   }
   const bool changed = take_heartbeat(row, message);
   row.last_heard = now;
-  if (message.echo_incarnation() == table.self.incarnation && message.echo_sent_at_us() != 0 &&
-      from_wire(message.echo_sent_at_us()) <= now) {
-    row.confirmed_until = from_wire(message.echo_sent_at_us());
-  }
+  row.confirmed_until = std::max(row.confirmed_until, echoed);
   const bool leaves = message.state() == wire::member_leaving;
   set_state(table, row, leaves ? member_state::leaving : member_state::alive);
   if (changed || before != from.incarnation) {
--- a/core/membership.h
+++ b/core/membership.h
@@ -16,7 +16,6 @@
 // Thread safety: none; one loop owns the table.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -43,16 +42,11 @@
   std::uint64_t config_digest = 0;
   std::uint64_t list_version = 0;
   bool watches_service = false;
-  std::vector<shard_key> owned;       // shards it says it holds
-  bool listed = false;                // in the newest list
-  bool list_leaving = false;          // the list shows it leaving
-  std::deque<std::uint64_t> retired;  // earlier incarnations, at most `max_retired`
+  std::vector<shard_key> owned;  // shards it says it holds
+  bool listed = false;           // in the newest list
+  bool list_leaving = false;     // the list shows it leaving
 };
 
-// Earlier incarnations of one address that are remembered, so that a late
-// heartbeat of an earlier run is not taken for another restart.
-inline constexpr std::size_t max_retired = 8;
-
 // Up to this many peers all get every heartbeat; see docs/design/membership.md.
 inline constexpr std::size_t full_mesh_peers = 24;
 
