Recount targets with grants older than any call may run

Cause: a finish that got lost between two live routers left its slot counted as long as short calls kept the target busy. Change: grants older than the pool's longest run timeout make a target unclear; each target holds the ids of its grants, so reports cost its own grants only, and the count is checked at each grant. The random fleet now loses 1 finish in 100.

--- a/core/scheduler.cc
+++ b/core/scheduler.cc
@@ -75,6 +75,14 @@
   }
 }
 
+void refresh_longest_run(scheduler_table& table, const published_config& config) {
+  table.longest_run.clear();
+  for (const profile_config& profile : config.profiles) {
+    std::chrono::milliseconds& longest = table.longest_run[profile.pool];
+    longest = std::max(longest, profile.run_timeout);
+  }
+}
+
 // Shards whose targets may get new work as far as the configuration says: a
 // pure function of it, so that all owners agree.
 void refresh_shards_with_targets(scheduler_table& table, const published_config& config) {
@@ -116,6 +124,7 @@
     table.config_digest = config.digest;
     refresh_targets(table, context, now);
     refresh_weights(table, config);
+    refresh_longest_run(table, config);
     refresh_shards_with_targets(table, config);
   }
   if (!same_config || table.has_list != has_list || table.list_version != list_version) {
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -92,7 +92,8 @@
   std::uint64_t completed = 0;      // calls since it started, as far as known; a lower bound
   std::uint64_t finished_here = 0;  // calls granted here that ended since it was last cold
   std::uint64_t reported_completed = 0;
-  std::uint32_t in_flight = 0;  // own grants outstanding
+  std::set<std::uint64_t> grants;  // own ones outstanding, by id
+  std::uint32_t in_flight = 0;     // how many these are
   std::uint32_t interactive_in_flight = 0;
   std::uint32_t foreign_in_flight = 0;  // left running by earlier owners; an upper bound
   bool usable = false;                  // a load report of this tenure was seen
@@ -106,6 +107,7 @@
   std::uint32_t most_beyond = 0;     // calls beyond own ones, over the window
   std::uint32_t least_shortage = 0;  // own calls that were not seen, over the window
   std::uint32_t entry_gone = 0;      // own grants whose entry router is gone
+  std::uint32_t overrun = 0;         // own grants older than any call may run
   bool recounting = false;           // gets no new work meanwhile
   instant recount_from{};            // samples from here on belong to it
   std::uint32_t recount_windows = 0;
@@ -237,6 +239,7 @@
   std::uint64_t config_digest = 0;
   std::uint64_t list_version = 0;
   bool has_list = false;
+  std::map<pool_name, std::chrono::milliseconds> longest_run;  // run timeouts
   std::unordered_map<organisation_name, double> weights;
   std::map<pool_name, std::vector<std::uint32_t>> shards_with_targets;  // indices, sorted
 };
--- a/core/scheduler_grants.cc
+++ b/core/scheduler_grants.cc
@@ -173,7 +173,7 @@
     if (lease.shard.pool != pool || shard == table.shards.end() || !lasts) {
       continue;
     }
-    settle_reports(table, lease.shard, shard->second, now);
+    settle_reports(table, shard->second, now);
     for (std::pair<const target_name, target_row>& target : shard->second.targets) {
       if (is_ready(target.second, now)) {
         places.push_back({lease.shard, shard->second.fencing, &target.second});
@@ -221,6 +221,8 @@
   const free_slots free = slots_of(target);
   const bool interactive = priority == traffic_class::interactive;
   PERIDOT_CHECK((interactive ? free.any : free.shared) > 0, "a target got more than it bears");
+  PERIDOT_CHECK(target.in_flight == target.grants.size(),
+                "a target's count differs from its grants");
   PERIDOT_CHECK(!solo || target.in_flight + target.foreign_in_flight == 0,
                 "a call that must run alone met another");
   account& row = pool.accounts.at(name);
@@ -237,6 +239,7 @@
   grant.solo = solo;
   grant.granted_at = now;
   grant.use_before = demand.received_at + context.config.fleet.grant_validity;
+  target.grants.insert(grant.id);
   ++target.in_flight;
   target.interactive_in_flight += interactive ? 1 : 0;
   target.solo_running = solo;
--- a/core/scheduler_internal.h
+++ b/core/scheduler_internal.h
@@ -72,7 +72,7 @@
 
 // Applies the report that has waited long enough, if there is one, and starts a
 // recount if what runs on a target of the shard stays unclear.
-void settle_reports(scheduler_table& table, const shard_key& shard, shard_row& row, instant now);
+void settle_reports(scheduler_table& table, shard_row& row, instant now);
 
 // What the end of a call says about its target. `counted`: the call was an
 // outstanding grant of this tenure.
--- a/core/scheduler_targets.cc
+++ b/core/scheduler_targets.cc
@@ -76,23 +76,11 @@
   target.completed = std::max({target.completed, target.finished_here, target.reported_completed});
 }
 
-// Own grants on the target, oldest first.
-std::vector<std::uint64_t> grants_on(const scheduler_table& table, const shard_key& shard,
-                                     const target_name& target) {
-  std::vector<std::uint64_t> result;
-  for (const std::pair<const std::uint64_t, outstanding_grant>& grant : table.grants) {
-    if (grant.second.shard == shard && grant.second.target == target) {
-      result.push_back(grant.first);
-    }
-  }
-  return result;
-}
-
 // Takes back the slots of overdue grants, as many as ended without a word.
-void reclaim(scheduler_table& table, const shard_key& shard, target_row& target,
-             instant sampled_at) {
+void reclaim(scheduler_table& table, target_row& target, instant sampled_at) {
   std::uint32_t left = target.least_shortage;
-  for (std::uint64_t id : grants_on(table, shard, target.name)) {
+  const std::set<std::uint64_t> grants = target.grants;  // releasing one changes the set
+  for (std::uint64_t id : grants) {
     const outstanding_grant& grant = table.grants.at(id);
     const bool void_by_now = grant.use_before + network_slack <= sampled_at;
     const bool overdue = grant.entry_gone || grant.use_before + reclaim_after <= sampled_at;
@@ -104,13 +92,12 @@
 }
 
 bool is_unclear(const target_row& target) {
-  return target.foreign_in_flight + target.entry_gone > 0;
+  return target.foreign_in_flight + target.entry_gone + target.overrun > 0;
 }
 
-void end_window(scheduler_table& table, const shard_key& shard, target_row& target,
-                instant sampled_at, instant now) {
+void end_window(scheduler_table& table, target_row& target, instant sampled_at, instant now) {
   target.foreign_in_flight = std::min(target.foreign_in_flight, target.most_beyond);
-  reclaim(table, shard, target, sampled_at);
+  reclaim(table, target, sampled_at);
   start_window(target);
   ++target.recount_windows;
   const bool enough = !is_unclear(target) || target.recount_windows >= max_recount_windows;
@@ -120,18 +107,25 @@
   }
 }
 
-void settle_report(scheduler_table& table, const shard_key& shard, target_row& target,
-                   instant now) {
+// Longest that a call of the pool may run; a day if no profile uses the pool.
+duration longest_run_of(const scheduler_table& table, const pool_name& pool) {
+  const auto longest = table.longest_run.find(pool);
+  return longest == table.longest_run.end() ? std::chrono::hours{24} : longest->second;
+}
+
+void settle_report(scheduler_table& table, target_row& target, instant now) {
   if (!target.unsettled || now < target.unsettled->sampled_at + network_slack) {
     return;
   }
   const unsettled_report report = *target.unsettled;
   target.unsettled.reset();
-  const std::vector<std::uint64_t> grants = grants_on(table, shard, target.name);
-  PERIDOT_CHECK(target.in_flight == grants.size(), "a target's count differs from its grants");
+  const duration longest_run = longest_run_of(table, target.settings.pool);
   std::uint32_t own = 0;
-  for (std::uint64_t id : grants) {
-    own += table.grants.at(id).granted_at + network_slack <= report.sampled_at ? 1 : 0;
+  target.overrun = 0;
+  for (std::uint64_t id : target.grants) {
+    const instant granted_at = table.grants.at(id).granted_at;
+    own += granted_at + network_slack <= report.sampled_at ? 1 : 0;
+    target.overrun += granted_at + longest_run + reclaim_after <= now ? 1 : 0;
   }
   const std::uint32_t beyond = report.load - std::min(report.load, own);
   const std::uint32_t shortage = own - std::min(own, report.load);
@@ -140,7 +134,7 @@
       target.settled == 0 ? shortage : std::min(target.least_shortage, shortage);
   ++target.settled;
   if (target.settled >= report_window) {
-    end_window(table, shard, target, report.sampled_at, now);
+    end_window(table, target, report.sampled_at, now);
   }
 }
 
@@ -171,10 +165,10 @@
   return other_boot || counter_fell;
 }
 
-void note_new_start(scheduler_table& table, const shard_key& shard, target_row& target,
-                    const load_report& report) {
+void note_new_start(scheduler_table& table, target_row& target, const load_report& report) {
   // What was running when the last report was sampled ended with the old start.
-  for (std::uint64_t id : grants_on(table, shard, target.name)) {
+  const std::set<std::uint64_t> grants = target.grants;  // releasing one changes the set
+  for (std::uint64_t id : grants) {
     if (table.grants.at(id).use_before + network_slack <= target.last_report) {
       release_grant(table, id);
     }
@@ -224,6 +218,7 @@
   target_row* target = find_row(table, row.shard, row.target);
   PERIDOT_CHECK(target != nullptr, "a grant outlived its target's row");
   PERIDOT_CHECK(target->in_flight > 0, "fewer slots are counted than grants");
+  target->grants.erase(id);
   --target->in_flight;
   if (row.priority == traffic_class::interactive) {
     PERIDOT_CHECK(target->interactive_in_flight > 0, "fewer slots are counted than grants");
@@ -242,9 +237,9 @@
   table.grants.erase(grant);
 }
 
-void settle_reports(scheduler_table& table, const shard_key& shard, shard_row& row, instant now) {
+void settle_reports(scheduler_table& table, shard_row& row, instant now) {
   for (std::pair<const target_name, target_row>& target : row.targets) {
-    settle_report(table, shard, target.second, now);
+    settle_report(table, target.second, now);
   }
   start_recount(row, now);
 }
@@ -292,7 +287,7 @@
     if (late || scheduling::is_past_boot(target, report.boot_id)) {
       continue;
     }
-    scheduling::settle_report(table, shard.first, target, now);
+    scheduling::settle_report(table, target, now);
     const std::uint32_t load = report.running + report.waiting;
     if (!target.usable) {
       PERIDOT_CHECK(target.in_flight == 0, "a target was granted before it was usable");
@@ -300,7 +295,7 @@
       target.foreign_in_flight = load;
       target.next_recount = now + first_recount_delay;
     } else if (scheduling::shows_new_start(target, report)) {
-      scheduling::note_new_start(table, shard.first, target, report);
+      scheduling::note_new_start(table, target, report);
     } else if (!target.unsettled &&
                (!target.recounting || report.sampled_at >= target.recount_from)) {
       target.unsettled = unsettled_report{load, report.sampled_at};
--- a/core/testing/scheduler_fleet_test.cc
+++ b/core/testing/scheduler_fleet_test.cc
@@ -152,6 +152,9 @@
   const router_identity from = f.entries[call.entry].identity;
   const double charged = result == wire::finish_returned ? 0 : std::max(cost, min_call_cost);
   note_service(f, index_of(call.grant.organisation()), charged - call.grant.estimated_cost());
+  if (f.options.faults && f.chance() < 0.01) {
+    return;  // the connection between the two routers broke
+  }
   f.send(false, [&f, call, message, from] {
     on_finish(f.owners[call.owner].table, from, message, f.now, f.context());
   });
@@ -410,6 +413,10 @@
     organisation.weight = index == 0 ? 2 : 1;
     f.config.organisations.push_back(organisation);
   }
+  profile_config profile;
+  profile.pool = pool;
+  profile.run_timeout = seconds{1};
+  f.config.profiles.push_back(profile);
   for (std::uint32_t index = 0; index < 6; ++index) {
     add_target(f, index % options.owners, options.owners);
   }
@@ -519,7 +526,7 @@
   for (const fleet_owner& owner : f.owners) {
     for (const std::pair<const shard_key, shard_row>& shard : owner.table.shards) {
       for (const std::pair<const target_name, target_row>& target : shard.second.targets) {
-        lost += target.second.foreign_in_flight + target.second.entry_gone;
+        lost += target.second.foreign_in_flight + target.second.entry_gone + target.second.overrun;
       }
     }
   }
