--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -5,21 +5,38 @@
 // right to send one request to one target; the entry router reports the end of
 // each (`finish`) with what it cost.
 //
+//   add_shard(table, shard, fencing, now, context)   when the lease was acquired
+//   on_demand, on_finish, on_load_report, on_service_totals    as they arrive
+//   grant_slots(table, leases, context, now, out)    after these, and each tick
+//   send_totals(table, other_owners, context, now, out)        each tick
+//   remove_shard(table, shard)                       when the lease was lost
+//
 // Fair shares. Each organisation has a tag per pool: service charged, divided by
 // its weight. The backlogged organisation with the lowest tag is next. Cost is
 // known only at the end: an estimate is charged at the grant and corrected at
 // the finish. An organisation that becomes backlogged starts at the lowest tag
 // among the backlogged ones, so idle time earns no credit. Owners of one pool
 // tell each other what they charged (`service_totals`) each `totals_interval`,
-// and add what they hear to their own tags. The bound on the gap is derived in
-// docs/design/fairness.md and checked by fairness_gap_bound().
+// and add what they hear to their own tags. The bound on the gap,
+// fairness_gap_bound(), is derived in docs/design/fairness.md.
+//
+// Classes. The tag decides between organisations; within one the most urgent
+// class goes first. Reserved slots are for interactive calls, of organisations
+// whose lead is below `reserved_slot_lead`. A call that must run alone gets a
+// target that was emptied for it, one at a time in each pool.
 //
 // Targets. In-flight work never exceeds the limit, which starts at `cold_limit`
 // when the target starts, and grows by one with every `ramp_calls` completed
 // calls up to `warm_limit`. A new boot id, a lost connection or a refused one
 // makes it cold at once. A new owner does not know what earlier owners left
 // running: it uses no target before a load report that was sampled after its
-// tenure began, and counts what that report shows.
+// tenure began, and counts what that report shows. A grant whose end nobody
+// reports stays counted until load reports show that it does not run.
+// docs/design/targets.md gives the argument.
+//
+// Cost: a grant or a finish takes O(log(backlogged organisations)); a call of
+// grant_slots() besides O(targets and entry routers of the pools held). State is
+// bounded by the published organisations, and idle ones are forgotten.
 //
 // Thread safety: none; one loop owns the table.
 #pragma once
--- a/core/scheduler_accounts.cc
+++ b/core/scheduler_accounts.cc
@@ -138,7 +138,9 @@
     }
   }
   std::vector<withheld_calls> result;
-  for (const auto& calls : unseen) {
+  result.reserve(unseen.size());
+  for (const std::pair<const std::pair<organisation_name, traffic_class>, withheld_calls>& calls :
+       unseen) {
     result.push_back(calls.second);
   }
   return result;
