--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -5,21 +5,38 @@
 // right to send one request to one target; the entry router reports the end of
 // each (`finish`) with what it cost.
 //
+//   add_shard(table, shard, fencing, now, context)   when the lease was acquired
+//   on_demand, on_finish, on_load_report, on_service_totals    as they arrive
+//   grant_slots(table, leases, context, now, out)    after these, and each tick
+//   send_totals(table, other_owners, context, now, out)        each tick
+//   remove_shard(table, shard)                       when the lease was lost
+//
 // Fair shares. Each organisation has a tag per pool: service charged, divided by
 // its weight. The backlogged organisation with the lowest tag is next. Cost is
 // known only at the end: an estimate is charged at the grant and corrected at
 // the finish. An organisation that becomes backlogged starts at the lowest tag
 // among the backlogged ones, so idle time earns no credit. Owners of one pool
 // tell each other what they charged (`service_totals`) each `totals_interval`,
-// and add what they hear to their own tags. The bound on the gap is derived in
-// docs/design/fairness.md and checked by fairness_gap_bound().
+// and add what they hear to their own tags. The bound on the gap,
+// fairness_gap_bound(), is derived in docs/design/fairness.md.
+//
+// Classes. The tag decides between organisations; within one the most urgent
+// class goes first. Reserved slots are for interactive calls, of organisations
+// whose lead is below `reserved_slot_lead`. A call that must run alone gets a
+// target that was emptied for it, one at a time in each pool.
 //
 // Targets. In-flight work never exceeds the limit, which starts at `cold_limit`
 // when the target starts, and grows by one with every `ramp_calls` completed
 // calls up to `warm_limit`. A new boot id, a lost connection or a refused one
 // makes it cold at once. A new owner does not know what earlier owners left
 // running: it uses no target before a load report that was sampled after its
-// tenure began, and counts what that report shows.
+// tenure began, and counts what that report shows. A grant whose end nobody
+// reports stays counted until load reports show that it does not run.
+// docs/design/targets.md gives the argument.
+//
+// Cost: a grant or a finish takes O(log(backlogged organisations)); a call of
+// grant_slots() besides O(targets and entry routers of the pools held). State is
+// bounded by the published organisations, and idle ones are forgotten.
 //
 // Thread safety: none; one loop owns the table.
 #pragma once
@@ -92,7 +109,8 @@
   std::uint64_t completed = 0;      // calls since it started, as far as known; a lower bound
   std::uint64_t finished_here = 0;  // calls granted here that ended since it was last cold
   std::uint64_t reported_completed = 0;
-  std::uint32_t in_flight = 0;  // own grants outstanding
+  std::set<std::uint64_t> grants;  // own ones outstanding, by id
+  std::uint32_t in_flight = 0;     // how many these are
   std::uint32_t interactive_in_flight = 0;
   std::uint32_t foreign_in_flight = 0;  // left running by earlier owners; an upper bound
   bool usable = false;                  // a load report of this tenure was seen
@@ -106,6 +124,7 @@
   std::uint32_t most_beyond = 0;     // calls beyond own ones, over the window
   std::uint32_t least_shortage = 0;  // own calls that were not seen, over the window
   std::uint32_t entry_gone = 0;      // own grants whose entry router is gone
+  std::uint32_t overrun = 0;         // own grants older than any call may run
   bool recounting = false;           // gets no new work meanwhile
   instant recount_from{};            // samples from here on belong to it
   std::uint32_t recount_windows = 0;
@@ -237,6 +256,7 @@
   std::uint64_t config_digest = 0;
   std::uint64_t list_version = 0;
   bool has_list = false;
+  std::map<pool_name, std::chrono::milliseconds> longest_run;  // run timeouts
   std::unordered_map<organisation_name, double> weights;
   std::map<pool_name, std::vector<std::uint32_t>> shards_with_targets;  // indices, sorted
 };
