--- a/core/testing/document_fuzz_test.cc
+++ b/core/testing/document_fuzz_test.cc
@@ -19,10 +19,11 @@
 constexpr int max_mutations = 4;
 
 constexpr std::string_view fragments[] = {
-    "[[",       "]]",   "\"",       "\"\"\"", "'''",  "=",         ".",    "{a = 1}",
-    "[1, [2]]", "\n",   "#",        "nan",    "-inf", "1e999",     "0x7f", "true",
-    "\\u0000",  "\xff", "\xc2\x85", "\r",     "-0x",  "07:32",     "\\",   "_",
-    "[fleet]",  ",",    "a.b.c=",   "+",      "\x01", "1979-05-27"};
+    "[[",           "]]",       "\"",      "\"\"\"", "'''",      "=",         ".",
+    "{a = 1}",      "[1, [2]]", "\n",      "#",      "nan",      "-inf",      "1e999",
+    "0x7f",         "true",     "\\u0000", "\xff",   "\xc2\x85", "\xc3\xa9",  "\xe3\x81\x82",
+    "\xe2\x80\x83", "\\\n",     "\r",      "-0x",    "07:32",    "\\",        "_",
+    "[fleet]",      ",",        "a.b.c=",  "+",      "\x01",     "1979-05-27"};
 
 std::size_t pick(std::mt19937_64& random, std::size_t bound) {
   return std::uniform_int_distribution<std::size_t>{0, bound - 1}(random);
