--- a/core/document_reader.cc
+++ b/core/document_reader.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "core/ip_endpoint.h"
 
@@ -262,11 +263,11 @@
     return;
   }
   const std::size_t line = line_of_key(reader, key);
-  auto [first, inserted] = seen.emplace(value, line);
-  if (!inserted) {
-    report_key(
-        reader, key,
-        "\"" + printable(value) + "\" is already used on line " + std::to_string(first->second));
+  const std::pair<first_lines::iterator, bool> entry = seen.emplace(value, line);
+  if (!entry.second) {
+    report_key(reader, key,
+               "\"" + printable(value) + "\" is already used on line " +
+                   std::to_string(entry.first->second));
   }
 }
 
