Refuse for a long wait only after enough experience; wire in the fencing floor

Cause: a queue that had waited one second without a grant, as after a start, was taken to be served never, and its callers were told to come back after more than a minute. Change: a rate is believed after three grants, or eight seconds without any; the longest time to come back is 15 s.

--- a/core/entry_queues.cc
+++ b/core/entry_queues.cc
@@ -14,7 +14,7 @@
 // Admission. Each queue counts its grants over the time during which it had
 // requests waiting, both with exponential decay. Length over rate is the expected
 // wait. A request is refused only if that clearly outlasts its deadline, and never
-// into an empty queue or with less than rate_history of experience: a wrong
+// into an empty queue or with too little experience (rate_grants, rate_history): a wrong
 // refusal costs a caller an answer, a wrong admission costs it a late true refusal.
 //
 // Invariants: a request is in exactly one queue, or runs; a queue in the map is
@@ -31,12 +31,13 @@
 using seconds = std::chrono::duration<double>;
 
 constexpr double rate_decay_seconds = 10;                      // of backlogged time
-constexpr seconds rate_history{1};                             // before a rate is believed
+constexpr double rate_grants = 3;                              // before a rate is believed,
+constexpr seconds rate_history{8};                             // or without any grant for so long
 constexpr std::chrono::milliseconds longest_rate_step{1'000};  // a pause is not backlog
 constexpr double clearly_longer = 1.5;                         // expected wait over the deadline
 constexpr std::size_t least_queue_limit = 4;
 constexpr std::chrono::milliseconds shortest_retry_after{100};
-constexpr std::chrono::milliseconds longest_retry_after{60'000};
+constexpr std::chrono::milliseconds longest_retry_after{15'000};
 
 // Counts the time since the last update as backlogged. Called before each change
 // of a queue that is not empty.
@@ -83,7 +84,7 @@
     return seconds{0};
   }
   const queue_rate& rate = current_rate(table, key, now);
-  if (rate.backlogged_seconds < rate_history.count()) {
+  if (rate.grants < rate_grants && rate.backlogged_seconds < rate_history.count()) {
     return seconds{0};
   }
   const double position = static_cast<double>(queue->second.size() + 1);
--- a/core/router.cc
+++ b/core/router.cc
@@ -13,8 +13,10 @@
 
 lease_context make_lease_context(const router_core& core) {
   PERIDOT_CHECK(core.config != nullptr, "leases need a configuration");
-  return lease_context{core.members, core.list.get(), core.config->fleet, core.config->version,
-                       core.stopping};
+  lease_context context{core.members, core.list.get(), core.config->fleet, core.config->version,
+                        core.stopping};
+  context.fencing_floor = core.options.fencing_floor;
+  return context;
 }
 
 scheduler_context make_scheduler_context(const router_core& core) {
@@ -37,6 +39,7 @@
     status.list_version = core.list->version;
   }
   status.owned = core.own_shards;
+  status.shards = core.shards;
   status.suspects = own_suspects(core.entry, core.options.self.address, now);
   return status;
 }
@@ -169,19 +172,11 @@
   send_heartbeats(core.members, fleet_of(core), make_local_status(core, now), now, todo.messages);
 }
 
-bool is_drained(const router_core& core, instant now) {
+bool is_drained(const router_core& core) {
   if (!core.stopping || !core.entry.requests.empty()) {
     return false;
   }
-  if (core.config == nullptr) {
-    return true;
-  }
-  const bool claims_left =
-      std::any_of(core.claims.claims.begin(), core.claims.claims.end(),
-                  [now](const std::pair<const shard_key, claim>& entry) {
-                    return entry.second.was_held || entry.second.release_at > now;
-                  });
-  return !claims_left;
+  return !release_pending(core.claims);
 }
 
 bool is_ready(const router_core& core) {
--- a/core/router.h
+++ b/core/router.h
@@ -50,6 +50,7 @@
   std::size_t max_queued = 4'096;
   std::size_t timeline_events = 20'000;
   std::chrono::milliseconds load_poll{200};
+  std::uint64_t fencing_floor = 0;  // lowest fencing number; the wall clock at the start
   share_policy policy = share_policy::fleet_fair;  // other values: baselines in experiments
 };
 
@@ -113,7 +114,7 @@
 // Begins a graceful shutdown: refuses new requests, empties the queues with a
 // true `not_run`, hands shards over. The process may end when is_drained().
 void router_stop(router_core& core, instant now, effects& todo);
-bool is_drained(const router_core& core, instant now);
+bool is_drained(const router_core& core);
 
 // True if callers should be sent here: configured, not stopping, and every pool
 // has an owner that this router knows.
--- a/experiment/fleet.cc
+++ b/experiment/fleet.cc
@@ -132,6 +132,7 @@
   options.faults.loss = 0.01;
   options.faults.duplicate = 0.01;
   options.faults.kill_every = std::chrono::seconds{8};
+  options.faults.mass_restart_every = std::chrono::seconds{40};
   options.faults.pause_every = std::chrono::seconds{8};
   options.faults.cut_every = std::chrono::seconds{15};
   options.faults.crash_every = std::chrono::seconds{10};
--- a/experiment/fleet.h
+++ b/experiment/fleet.h
@@ -29,6 +29,7 @@
   double loss = 0;                 // of peer messages
   double duplicate = 0;            // of peer messages
   duration kill_every{};           // a router ends and restarts empty
+  duration mass_restart_every{};   // all routers but one end, and restart empty at once
   duration pause_every{};          // a router sleeps, some longer than a lease
   duration cut_every{};            // the routers split into two groups
   duration crash_every{};          // a target restarts cold
--- a/experiment/fleet_faults.cc
+++ b/experiment/fleet_faults.cc
@@ -15,6 +15,17 @@
               between(fleet.random, std::chrono::milliseconds{50}, std::chrono::seconds{4}));
 }
 
+void restart_all_but_one(fleet_state& fleet) {
+  const std::size_t survivor = below(fleet.random, fleet.routers.size());
+  for (const driven_router& router : fleet.routers) {
+    if (router.index != survivor) {
+      kill_router(
+          fleet, router.index,
+          between(fleet.random, std::chrono::milliseconds{20}, std::chrono::milliseconds{200}));
+    }
+  }
+}
+
 // Half of the pauses outlast a lease.
 void pause_one(fleet_state& fleet) {
   const std::size_t index = below(fleet.random, fleet.routers.size());
@@ -102,6 +113,7 @@
   };
   const planned_fault planned[] = {
       {"router_kill", plan.kill_every, kill_one},
+      {"mass_restart", plan.mass_restart_every, restart_all_but_one},
       {"router_pause", plan.pause_every, pause_one},
       {"network_cut", plan.cut_every, cut_fleet},
       {"target_crash", plan.crash_every, crash_one_target},
--- a/experiment/fleet_routers.cc
+++ b/experiment/fleet_routers.cc
@@ -226,7 +226,7 @@
   check_versions(fleet, router);
   carry_out(fleet, index, todo);
   check_holders(fleet);
-  if (router.core->stopping && is_drained(*router.core, now)) {
+  if (router.core->stopping && is_drained(*router.core)) {
     if (!router.attempts.empty()) {
       violated(fleet, "a planned stop ended with calls running");
     }
--- a/experiment/testing/fleet_test.cc
+++ b/experiment/testing/fleet_test.cc
@@ -76,8 +76,7 @@
   SUBCASE("voters that do not abstain after a restart let two routers hold a shard") {
     fleet_options options = small_fleet(1);
     options.forget_voter_start = true;
-    options.faults.kill_every = seconds{2};
-    options.faults.cut_every = seconds{5};
+    options.faults.mass_restart_every = seconds{5};
     CHECK(any_violation(options, "two routers hold", 60));
   }
 
--- a/net/router_process.cc
+++ b/net/router_process.cc
@@ -19,6 +19,14 @@
   return (high << 32) | source() | 1;
 }
 
+// Keeps fencing numbers growing when all routers restart at once.
+std::uint64_t wall_clock_milliseconds() {
+  const std::chrono::system_clock::duration since_epoch =
+      std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
+}
+
 router_options make_options(const router_settings& settings) {
   router_options options;
   options.name = settings.name;
@@ -34,6 +42,7 @@
   options.max_queued = settings.max_queued;
   options.timeline_events = settings.timeline_events;
   options.load_poll = settings.load_poll;
+  options.fencing_floor = wall_clock_milliseconds();
   return options;
 }
 
@@ -66,7 +75,7 @@
     return;
   }
   const bool drained =
-      is_drained(process.core, now) && process.calls.empty() && process.forwards.empty();
+      is_drained(process.core) && process.calls.empty() && process.forwards.empty();
   if (drained || now >= process.stop_before) {
     process.exit_status = drained ? 0 : 1;
     const timeval linger = to_timeval(stop_linger);
