--- a/core/testing/config_checker_test.cc
+++ b/core/testing/config_checker_test.cc
@@ -55,6 +55,8 @@
     {"\"zone-b\"\nout", "\"zone-a\"\nout", 11, "failure_domain[1].name", "already used on line 8"},
     {"out = true", "out = 1", 12, "failure_domain[1].out", "must be a boolean"},
     {"pool = \"explain\" # of", "pool = \"none\" # of", 16, "profile[0].pool", "no [[target]] has"},
+    {"max_retries = 1", "path = \"v1\"", 18, "profile[0].path", "must start with '/'"},
+    {"max_retries = 1", "path = \"/v1?a\"", 18, "profile[0].path", "hold no space, '?'"},
     {"\"interactive\"", "\"fast\"", 17, "profile[0].class", "one of \"interactive\", \"standard\""},
     {"[fleet]", "[]", 2, "", "not valid TOML"},
     {"[fleet]", "[=fleet]", 2, "", "a key or value is expected"},
