--- a/core/testing/entry_test.cc
+++ b/core/testing/entry_test.cc
@@ -6,21 +6,6 @@
 #include "core/testing/entry_bench.h"
 
 namespace peridot {
-
-// Until membership is merged.
-std::optional<router_address> known_owner(const membership_table& table, const shard_key& shard,
-                                          const std::vector<shard_key>& own_shards) {
-  if (std::count(own_shards.begin(), own_shards.end(), shard) > 0) {
-    return table.self.address;
-  }
-  for (const std::pair<const router_address, member>& peer : table.members) {
-    if (std::count(peer.second.owned.begin(), peer.second.owned.end(), shard) > 0) {
-      return peer.first;
-    }
-  }
-  return std::nullopt;
-}
-
 namespace {
 
 using namespace entry_bench;
