--- a/core/testing/entry_test.cc
+++ b/core/testing/entry_test.cc
@@ -6,7 +6,6 @@
 #include "core/testing/entry_bench.h"
 
 namespace peridot {
-
 namespace {
 
 using namespace entry_bench;
