Count a slot again when the guess which grant had ended was wrong

Cause: two grants of a router that slept for 1.8 s were overdue, reports showed that one had ended, and the slot of the other was taken back. When the router woke and told the end of the first, its slot was freed as well, while the other still ran. Ruled out: two owners (one holder all the time), a wrong limit (bears 4, limit 4). Change: grants that were given up are remembered; the told end of one that could have been meant puts one of them back. Also reports the entry table's run number.

--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -124,9 +124,10 @@
   std::uint32_t most_beyond = 0;     // calls beyond own ones, over the window
   std::uint32_t least_shortage = 0;  // own calls that were not seen, over the window
   std::uint32_t entry_gone = 0;      // own grants whose entry router is gone
-  std::uint32_t overrun = 0;         // own grants older than any call may run
-  bool recounting = false;           // gets no new work meanwhile
-  instant recount_from{};            // samples from here on belong to it
+  std::map<std::uint64_t, outstanding_grant> reclaimed;  // taken to have ended, by id
+  std::uint32_t overrun = 0;                             // own grants older than any call may run
+  bool recounting = false;                               // gets no new work meanwhile
+  instant recount_from{};                                // samples from here on belong to it
   std::uint32_t recount_windows = 0;
   instant next_recount{};
   bool solo_running = false;
--- a/core/scheduler_grants.cc
+++ b/core/scheduler_grants.cc
@@ -239,15 +239,11 @@
   grant.solo = solo;
   grant.granted_at = now;
   grant.use_before = demand.received_at + context.config.fleet.grant_validity;
-  target.grants.insert(grant.id);
-  ++target.in_flight;
-  target.interactive_in_flight += interactive ? 1 : 0;
   target.solo_running = solo;
-  ++row.in_flight;
   charge(table, pool, name, row, grant.estimated);
   update_backlog(table, pool, name, row, false);
   send_grant(grant, demand, place.fencing, context, out);
-  table.grants.emplace(grant.id, std::move(grant));
+  hold_slot(table, target, std::move(grant));
 }
 
 }  // namespace scheduling
@@ -273,10 +269,15 @@
     scheduling::note_finish(*target, message, known, now);
   }
   if (!known) {
-    return;  // doubled, or of an earlier tenure
+    // Doubled, of an earlier tenure, or rightly taken to have ended.
+    if (target != nullptr) {
+      target->reclaimed.erase(message.grant_id());
+    }
+    return;
   }
   const outstanding_grant grant = found->second;
   scheduling::release_grant(table, grant.id);
+  scheduling::correct_reclaimed(table, *target, grant, now);
   pool_row& pool = table.pools.at(shard.pool);
   account& row = pool.accounts.at(grant.organisation);
   scheduling::charge(table, pool, grant.organisation, row, scheduling::correction(grant, message));
--- a/core/scheduler_internal.h
+++ b/core/scheduler_internal.h
@@ -78,6 +78,14 @@
 // outstanding grant of this tenure.
 void note_finish(target_row& target, const wire::finish& message, bool counted, instant now);
 
+// Counts a slot of the target for the grant. Precondition: it is not counted.
+void hold_slot(scheduler_table& table, target_row& target, outstanding_grant grant);
+
+// After the end of `ended` was told: if it is one of those that could have been
+// meant when slots were taken back, one of these is counted again.
+void correct_reclaimed(scheduler_table& table, target_row& target, const outstanding_grant& ended,
+                       instant now);
+
 // Removes a grant and its place on the target; the charge stays as it is.
 void release_grant(scheduler_table& table, std::uint64_t id);
 
--- a/core/scheduler_targets.cc
+++ b/core/scheduler_targets.cc
@@ -18,6 +18,11 @@
 // their slot. Overdue means that the entry router is gone, or silent for
 // `reclaim_after`.
 //
+// Which of several overdue grants has ended is a guess: reports give numbers, not
+// names. If a grant that could have been meant ends by word after all, its entry
+// router having only slept, the guess was wrong, and one that was given up takes
+// the slot back.
+//
 // Recounts. Calls that are shorter than the slack are never compared, and can
 // hide for ever that a foreign call or a lost grant has ended. So a target that
 // stays unclear gets no new work until a window has made it clear: at most for
@@ -34,6 +39,7 @@
 namespace {
 
 constexpr std::size_t max_past_boot_ids = 4;
+constexpr std::size_t max_reclaimed = 256;  // grants remembered for each target
 
 void start_window(target_row& target) {
   target.unsettled.reset();
@@ -60,6 +66,7 @@
       target.past_boot_ids.erase(target.past_boot_ids.begin());
     }
     make_cold(target);
+    target.reclaimed.clear();
   }
   target.boot_id = boot_id;
   start_window(target);
@@ -76,6 +83,17 @@
   target.completed = std::max({target.completed, target.finished_here, target.reported_completed});
 }
 
+bool is_overdue(const outstanding_grant& grant, instant at) {
+  return grant.entry_gone || grant.use_before + reclaim_after <= at;
+}
+
+void remember_reclaimed(target_row& target, const outstanding_grant& grant) {
+  if (target.reclaimed.size() >= max_reclaimed) {
+    target.reclaimed.erase(target.reclaimed.begin());
+  }
+  target.reclaimed.emplace(grant.id, grant);
+}
+
 // Takes back the slots of overdue grants, as many as ended without a word.
 void reclaim(scheduler_table& table, target_row& target, instant sampled_at) {
   std::uint32_t left = target.least_shortage;
@@ -83,8 +101,8 @@
   for (std::uint64_t id : grants) {
     const outstanding_grant& grant = table.grants.at(id);
     const bool void_by_now = grant.use_before + network_slack <= sampled_at;
-    const bool overdue = grant.entry_gone || grant.use_before + reclaim_after <= sampled_at;
-    if (left > 0 && void_by_now && overdue) {
+    if (left > 0 && void_by_now && is_overdue(grant, sampled_at)) {
+      remember_reclaimed(target, grant);
       release_grant(table, id);
       --left;
     }
@@ -237,6 +255,28 @@
   table.grants.erase(grant);
 }
 
+void hold_slot(scheduler_table& table, target_row& target, outstanding_grant grant) {
+  account& owner = open_account(table, table.pools.at(grant.shard.pool), grant.organisation);
+  target.grants.insert(grant.id);
+  ++target.in_flight;
+  target.interactive_in_flight += grant.priority == traffic_class::interactive ? 1 : 0;
+  target.entry_gone += grant.entry_gone ? 1 : 0;
+  ++owner.in_flight;
+  const std::uint64_t id = grant.id;
+  table.grants.emplace(id, std::move(grant));
+}
+
+void correct_reclaimed(scheduler_table& table, target_row& target, const outstanding_grant& ended,
+                       instant now) {
+  if (target.reclaimed.empty() || !is_overdue(ended, now)) {
+    return;
+  }
+  outstanding_grant mistaken = target.reclaimed.begin()->second;
+  target.reclaimed.erase(target.reclaimed.begin());
+  target.solo_running = target.solo_running || mistaken.solo;
+  hold_slot(table, target, std::move(mistaken));
+}
+
 void settle_reports(scheduler_table& table, shard_row& row, instant now) {
   for (std::pair<const target_name, target_row>& target : row.targets) {
     settle_report(table, target.second, now);
--- a/experiment/fleet_targets.cc
+++ b/experiment/fleet_targets.cc
@@ -149,6 +149,7 @@
   driven_router& router = fleet.routers[index];
   attempt& tried = router.attempts.at(what.request);
   tried.run = fleet.next_run++;
+  tried.entry_run = what.run;
   const run_route route{index, router.generation, what.request, tried.run, what.where.target};
   schedule_in(fleet.queue, fleet.options.one_way, [&fleet, route]() { arrive(fleet, route); });
 }
--- a/net/process_internal.h
+++ b/net/process_internal.h
@@ -43,6 +43,7 @@
   std::shared_ptr<client_call> run;
   run_timeout_argument run_timeout;
   event_ptr run_timer;
+  std::uint64_t run_number = 0;  // dispatch::run
   placement where;
   answer_head head;
   bool answer_begun = false;  // a byte of the answer was passed on
--- a/net/runs.cc
+++ b/net/runs.cc
@@ -34,7 +34,8 @@
   return std::chrono::duration<double>(now - call.run_started).count() * units_per_second;
 }
 
-void report_end(router_process& process, caller_call& call, const target_result& result) {
+void report_end(router_process& process, caller_call& call, target_result result) {
+  result.run = call.run_number;
   const std::uint64_t id = call.id;
   effects todo;
   const decision what = router_on_target_done(process.core, id, result, current_time(), todo);
@@ -109,6 +110,7 @@
   }
   target_result result;
   result.result = wire::finish_ok;
+  result.run = call.run_number;
   result.cost = measured_cost(call, now);
   result.boot_id = std::string(find_header(call.head.headers, "X-Boot-Id"));
   result.answer_begun = true;
@@ -272,6 +274,7 @@
   const profile_config* profile = find_profile(*process.core.config, call->profile);
   const instant now = current_time();
   call->where = what.where;
+  call->run_number = what.run;
   call->run_started = now;
   if (target == nullptr || profile == nullptr) {
     report_end(process, *call, {.result = wire::finish_refused});
