--- a/experiment/fleet_state.h
+++ b/experiment/fleet_state.h
@@ -19,8 +19,9 @@
 struct attempt {
   std::uint64_t call = 0;
   std::optional<std::uint64_t> key_sequence;
-  std::uint64_t run = 0;      // of the present dispatch
-  std::uint64_t reached = 0;  // dispatches that arrived at a target
+  std::uint64_t run = 0;        // of the present dispatch, unique in the fleet
+  std::uint64_t entry_run = 0;  // dispatch::run
+  std::uint64_t reached = 0;    // dispatches that arrived at a target
   bool answer_begun = false;
 };
 
