--- a/experiment/fleet_state.h
+++ b/experiment/fleet_state.h
@@ -52,7 +52,8 @@
   bool poison = false;
   std::string key;
   service_units cost = 0;
-  instant sent{};
+  instant sent{};       // the first time
+  instant last_sent{};  // the newest time
   std::optional<instant> first_unit;
   std::uint32_t sends = 0;
   std::uint64_t runs = 0;  // arrivals at targets
