--- a/experiment/fleet.h
+++ b/experiment/fleet.h
@@ -76,6 +76,7 @@
   // Switches a mechanism off from the outside, to show that a check can fail.
   bool forget_voter_start = false;         // restarted voters do not abstain
   bool repeat_without_issuer = false;      // a repeat of a key starts at whichever router gets it
+  bool poison_in_disguise = false;         // calls that crash targets differ in their bodies
   bool stale_routers_keep_config = false;  // routers never hear of newer documents
 };
 
@@ -104,6 +105,7 @@
   std::uint64_t keyed_unknown = 0;
   std::uint64_t double_runs = 0;
   std::uint64_t overloads = 0;
+  std::uint64_t poison_crashes = 0;  // targets lost to calls that crash them
   gap_report gap;
   double gap_bound = 0;
   double utilisation = 0;                // busy slots over able slots while work waits
--- a/experiment/fleet_callers.cc
+++ b/experiment/fleet_callers.cc
@@ -75,7 +75,8 @@
   new_request request;
   request.organisation = group.organisation;
   request.profile = group.profile;
-  request.fingerprint = call.poison ? poison_fingerprint : stable_hash("body", call.id);
+  const bool same_body = call.poison && !fleet.options.poison_in_disguise;
+  request.fingerprint = same_body ? poison_fingerprint : stable_hash("body", call.id);
   return request;
 }
 
--- a/experiment/fleet_targets.cc
+++ b/experiment/fleet_targets.cc
@@ -53,6 +53,7 @@
     return;  // lost with the target, or dropped with its router
   }
   if (found->second.crashes) {
+    ++fleet.report.poison_crashes;
     lose_runs(fleet, target, crash_down);
     return;
   }
--- a/experiment/testing/fleet_test.cc
+++ b/experiment/testing/fleet_test.cc
@@ -87,6 +87,29 @@
   }
 }
 
+TEST_CASE("a call that crashes targets costs a bounded number of them") {
+  fleet_options options = small_fleet(1);
+  options.faults = fault_plan{};
+  options.faults.poison_every = seconds{2};
+  constexpr std::uint64_t crash_bound = max_crashes;
+
+  SUBCASE("however often its caller sends it, through whichever router") {
+    for (std::uint64_t seed = first_seed; seed < first_seed + 20; ++seed) {
+      CAPTURE(seed);
+      options.seed = seed;
+      const fleet_report report = run_fleet(options);
+      CHECK(report.faults.at("poison_request") > 5);
+      CHECK(report.poison_crashes <= crash_bound);
+      CHECK(first_violation(report) == "");
+    }
+  }
+
+  SUBCASE("not so if each sending looks like another call") {
+    options.poison_in_disguise = true;
+    CHECK(run_fleet(options).poison_crashes > crash_bound);
+  }
+}
+
 TEST_CASE("operators take targets out, and they get no new work within seconds") {
   fleet_options options = small_fleet(1);
   // The platform's service answers, and the routers reach each other; they are
