End with 0 after a further TERM during the clean-up

Cause: the handler of TERM is an event of the loop. It is freed after the loop has ended, which restores the default action; a TERM that arrives between that and the end of main() ended the process with 143 although all work had ended. Seen by kill_router.sh: router-4 logged "Stopped." and ended with 143 when the stop of the whole fleet sent it TERM twice.

Ruled out: a stop that was cut short. The log says that all work had ended. Weighed: ignoring the signal before the handler is installed. That loses a TERM which arrives before the handler stands, or needs more steps.

Change: the signal is blocked once the loop has ended. The other threads of the process are those of libraries; all of them block all signals (read from /proc/PID/task/*/status of a running router).

--- a/net/router_process.cc
+++ b/net/router_process.cc
@@ -99,6 +99,14 @@
   carry_out(process, todo);
 }
 
+// Precondition: no other thread of this process accepts signals.
+void block_stop_signal() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 leaf::result<void> open_sockets(router_process& process) {
   const mesh_options mesh_settings{process.core.options.self, process.settings.name,
                                    process.settings.fleet_key};
@@ -187,6 +195,9 @@
            "Started. http=" + settings.http_address + " mesh=" + settings.mesh_address.value +
                " domain=" + settings.domain.value);
   event_base_dispatch(process.base.get());
+  // The clean-up frees the handler of the signal; a further one must not end the
+  // process with another status after all its work has ended.
+  block_stop_signal();
   log_line(log_part::process, log_level::info, "Stopped.");
   return process.exit_status;
 }
