Let the load tool move on from a router that stops, and engines fill their tokens

Cause: a caller that is refused as stopping may send its call elsewhere at once, with a key under a new one, since nothing ran under the old. The load tool could only come back with the old key, which leads to the router that is about to end. And no stand-in could stream enough bytes to fill a caller's buffers.

Weighed: moving on after each refusal as not run. Only a stopping router makes its own keys useless; the other refusals are about capacity.

Before: no test of a rolling replacement.

--- a/standins/engine_standin_main.cc
+++ b/standins/engine_standin_main.cc
@@ -29,6 +29,7 @@
 ABSL_FLAG(std::uint32_t, restart_ms, 2'000, "milliseconds from a crash to the next start");
 ABSL_FLAG(std::uint32_t, report_lag_ms, 200, "milliseconds between two samples of the load");
 ABSL_FLAG(std::uint32_t, kept_answers, 256, "answers kept for a resume");
+ABSL_FLAG(std::uint32_t, token_bytes, 0, "each token is filled up to so many bytes with dots");
 
 namespace peridot::standins {
 namespace {
@@ -204,6 +205,15 @@
   evhtp_send_reply_chunk_end(request);
 }
 
+std::string token_text(std::uint32_t token, std::uint64_t prompt_hash) {
+  std::string text = "token-" + std::to_string(token) + "." + hash_text(prompt_hash);
+  const std::size_t bytes = absl::GetFlag(FLAGS_token_bytes);
+  if (text.size() + 1 < bytes) {
+    text.resize(bytes - 1, '.');
+  }
+  return text + " ";
+}
+
 void send_events(engine& self, const std::map<std::uint64_t, engine_call>& calls,
                  const std::vector<engine_event>& events) {
   for (const engine_event& event : events) {
@@ -221,8 +231,7 @@
       finish_stream(self, event.call, out.request);
       continue;
     }
-    send_chunk(out.request,
-               "token-" + std::to_string(event.token) + "." + hash_text(call.prompt_hash) + " ");
+    send_chunk(out.request, token_text(event.token, call.prompt_hash));
   }
 }
 
--- a/standins/load_client.cc
+++ b/standins/load_client.cc
@@ -88,8 +88,23 @@
   }
 }
 
+// The old key keeps its own line, so that its end is compared with the ledgers.
+void move_on(load_client& client, load_call& call, instant now) {
+  if (!call.key.empty()) {
+    client.keyed_ends.push_back(keyed_end{call.key, hash_text(body_hash(call.body)), "not_run"});
+    call.key.clear();
+  }
+  send_again(client, call, now);
+}
+
 void on_not_run(load_client& client, std::uint64_t id, const attempt_end& end, instant now) {
   load_call& call = client.calls.at(id);
+  const bool stopping = end.refusal == "stopping";
+  if (stopping && client.options.move_on_when_stopping &&
+      call.attempts < client.options.max_attempts) {
+    move_on(client, call, now);
+    return;
+  }
   if (end.retry_after && call.retries < caller_of(client, call).retries) {
     ++call.retries;
     send_again(client, call, now + *end.retry_after);
--- a/standins/load_client.h
+++ b/standins/load_client.h
@@ -8,6 +8,9 @@
 //   connection broken    with a key: again through another router; without one:
 //                        again only if nothing of the answer has arrived
 //   refused as not run   again after Retry-After while retries are left
+//   refused as stopping  with `move_on_when_stopping`: at once through another
+//                        router, under a new key if it has one, as nothing ran
+//                        under the old one and its issuer is about to end
 //   unknown, Retry-After with a key: again, to learn the outcome
 //   anything else        the end of the call
 //
@@ -46,6 +49,7 @@
   std::uint64_t seed = 1;
   std::size_t max_connections = 512;
   std::uint32_t max_attempts = 6;
+  bool move_on_when_stopping = false;  // see the table above
   duration run_time{};
   duration drain_time{};
   std::chrono::milliseconds answer_timeout{60'000};
--- a/tools/peridot_load_main.cc
+++ b/tools/peridot_load_main.cc
@@ -40,6 +40,8 @@
 ABSL_FLAG(std::string, report, "", "file for the results as key=value lines");
 ABSL_FLAG(std::string, keyed_calls, "",
           "file for one line \"KEY BODY_HASH END\" for each call with a key");
+ABSL_FLAG(bool, move_on_when_stopping, false,
+          "sends calls refused because a router stops to another at once, under a new key");
 ABSL_FLAG(bool, allow_broken, false,
           "exit status 0 also after broken answers, for runs that kill routers or targets");
 
@@ -80,6 +82,7 @@
   options.seed = absl::GetFlag(FLAGS_seed);
   options.max_connections = absl::GetFlag(FLAGS_max_connections);
   options.max_attempts = absl::GetFlag(FLAGS_max_attempts);
+  options.move_on_when_stopping = absl::GetFlag(FLAGS_move_on_when_stopping);
   options.run_time = std::chrono::duration_cast<duration>(seconds(absl::GetFlag(FLAGS_seconds)));
   options.drain_time =
       std::chrono::duration_cast<duration>(seconds(absl::GetFlag(FLAGS_drain_seconds)));
