Relay answers longer than a megabyte; bound chunk and head instead

Cause: libevent's body limit covers the whole body, not a chunk, so each answer above 1 MiB, chunked or of stated length, ended as lost: the request was marked as a suspect and the target as crashed. Transfer-Encoding was compared in one case only, with the same end. The answer's head had no bound. Ruled out: no limit at all; the library holds back a chunk until all of it is there, so a chunk of 2 GB would be held in memory. Change: the limit moves along with the bytes passed on, so that it bounds one chunk; a body of stated length streams and needs none. Heads end at 64 KiB.

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -4,6 +4,7 @@
 #include <strings.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "core/check.h"
@@ -41,6 +42,23 @@
   }
 }
 
+bool is_chunked(const answer_head& head) {
+  const std::string_view coding = find_header(head.headers, "Transfer-Encoding");
+  constexpr std::string_view chunked = "chunked";
+  return coding.size() == chunked.size() &&
+         strncasecmp(coding.data(), chunked.data(), chunked.size()) == 0;
+}
+
+// The library bounds the whole body, and holds back a chunk until all of it has
+// arrived. So the bound moves along with what was passed on; a body of stated
+// length is passed on as it arrives and needs none.
+void set_body_bound(client_call& call, bool chunked) {
+  const std::size_t bound = chunked
+                                ? call.passed_on + call.max_chunk
+                                : static_cast<std::size_t>(std::numeric_limits<ev_ssize_t>::max());
+  evhttp_connection_set_max_body_size(call.connection, static_cast<ev_ssize_t>(bound));
+}
+
 void pass_data(client_call& call, evhttp_request* request) {
   evbuffer* input = evhttp_request_get_input_buffer(request);
   const std::size_t length = evbuffer_get_length(input);
@@ -50,6 +68,10 @@
   const char* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
   const std::string copy(bytes, length);
   evbuffer_drain(input, length);
+  call.passed_on += length;
+  if (call.chunked) {
+    set_body_bound(call, true);
+  }
   call.handlers.on_data(copy);
 }
 
@@ -64,11 +86,12 @@
        entry = entry->next.tqe_next) {
     head.headers.push_back({entry->key, entry->value});
   }
-  head.framed = !find_header(head.headers, "Content-Length").empty() ||
-                find_header(head.headers, "Transfer-Encoding") == "chunked" || head.status == 204 ||
-                head.status == 304;
+  call.chunked = is_chunked(head);
+  head.framed = call.chunked || !find_header(head.headers, "Content-Length").empty() ||
+                head.status == 204 || head.status == 304;
   call.head_seen = true;
   call.framed = head.framed;
+  set_body_bound(call, call.chunked);
   call.handlers.on_head(head);
   return 0;
 }
@@ -109,8 +132,9 @@
                                                               endpoint->ip.c_str(), endpoint->port);
   const timeval idle = to_timeval(call.idle_timeout);
   evhttp_connection_set_timeout_tv(handle->connection, &idle);
-  evhttp_connection_set_max_body_size(handle->connection,
-                                      static_cast<ev_ssize_t>(call.max_answer_chunk));
+  evhttp_connection_set_max_headers_size(handle->connection,
+                                         static_cast<ev_ssize_t>(call.max_head_bytes));
+  handle->max_chunk = call.max_answer_chunk;
   evhttp_request* request = evhttp_request_new(on_done, handle.get());
   handle->request = request;
   evhttp_request_set_header_cb(request, on_headers);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -5,7 +5,10 @@
 //
 //   complete  the whole answer arrived: last chunk, or the stated length
 //   refused   no byte of the call left this process; nothing can have run
-//   lost      the connection broke or timed out after bytes had left
+//   lost      the connection broke or timed out after bytes had left, the answer
+//             has no framing that tells its end, or it exceeds a bound of the call
+//
+// An answer may have any length: memory holds one chunk of it at most.
 //
 //   http_call call{.address = "10.0.0.9:8000", .path = "/v1/generate", .body = body};
 //   std::shared_ptr<client_call> handle = start_call(base, call, handlers);
@@ -45,7 +48,8 @@
   std::vector<http_header> headers;
   std::string body;
   std::chrono::milliseconds idle_timeout{5'000};  // connecting, and between bytes
-  std::size_t max_answer_chunk = 1 << 20;
+  std::size_t max_answer_chunk = 1 << 20;         // a larger one ends the call as lost
+  std::size_t max_head_bytes = 64 << 10;          // of the answer
 };
 
 struct answer_head {
@@ -70,7 +74,10 @@
   bool bytes_left = false;  // of the call, to the network
   bool head_seen = false;
   bool framed = false;
+  bool chunked = false;
   bool ended = false;
+  std::size_t max_chunk = 0;
+  std::size_t passed_on = 0;          // bytes of the body
   std::shared_ptr<client_call> self;  // keeps this alive while the library may call back
 };
 
--- /dev/null
+++ b/net/testing/raw_peers.h
@@ -0,0 +1,178 @@
+// Peers for tests that speak raw bytes, on the loop of the test.
+#pragma once
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <functional>
+#include <string>
+
+#include "net/loop.h"
+
+namespace peridot::testing {
+
+inline constexpr std::chrono::milliseconds patience{5'000};
+
+inline void run_for(event_base* base, std::chrono::milliseconds time) {
+  const timeval limit = to_timeval(time);
+  event_base_loopexit(base, &limit);
+  event_base_loop(base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+// False if `done` did not come true in time.
+inline bool run_until(event_base* base, const std::function<bool()>& done) {
+  const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + patience;
+  while (!done() && std::chrono::steady_clock::now() < end) {
+    run_for(base, std::chrono::milliseconds{2});
+  }
+  return done();
+}
+
+inline sockaddr_in loopback(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(port);
+  return address;
+}
+
+inline std::string bound_address(evutil_socket_t socket) {
+  sockaddr_in address{};
+  socklen_t length = sizeof(address);
+  getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
+  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+// An address at which nothing listens.
+inline std::string unused_address() {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = loopback(0);
+  ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  const std::string text = bound_address(socket);
+  ::close(socket);
+  return text;
+}
+
+// Answers the first bytes of each connection with fixed bytes.
+struct raw_server {
+  std::string answer;
+  bool close_after_answer = false;
+  bool reset_after_read = false;
+  std::string address;
+  std::string received;
+  int closed = 0;
+  evconnlistener* listener = nullptr;
+  bufferevent* connection = nullptr;
+  ~raw_server() {
+    if (connection != nullptr) {
+      bufferevent_free(connection);
+    }
+    evconnlistener_free(listener);
+  }
+};
+
+inline void drop_connection(raw_server& server) {
+  bufferevent_free(server.connection);
+  server.connection = nullptr;
+  ++server.closed;
+}
+
+inline void on_raw_event(bufferevent*, short, void* argument) {
+  drop_connection(*static_cast<raw_server*>(argument));
+}
+
+inline void on_raw_written(bufferevent*, void* argument) {
+  drop_connection(*static_cast<raw_server*>(argument));
+}
+
+inline void on_raw_read(bufferevent* connection, void* argument) {
+  raw_server& server = *static_cast<raw_server*>(argument);
+  const bool first = server.received.empty();
+  evbuffer* input = bufferevent_get_input(connection);
+  const std::size_t length = evbuffer_get_length(input);
+  std::string bytes(length, '\0');
+  evbuffer_remove(input, bytes.data(), length);
+  server.received += bytes;
+  if (!first) {
+    return;
+  }
+  if (server.reset_after_read) {
+    const linger now{1, 0};
+    setsockopt(bufferevent_getfd(connection), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    drop_connection(server);
+    return;
+  }
+  bufferevent_write(connection, server.answer.data(), server.answer.size());
+  if (server.close_after_answer && server.answer.empty()) {
+    drop_connection(server);
+  } else if (server.close_after_answer) {
+    bufferevent_setcb(connection, on_raw_read, on_raw_written, on_raw_event, argument);
+  }
+}
+
+inline void on_raw_accept(evconnlistener* listener, evutil_socket_t socket, sockaddr*, int,
+                          void* argument) {
+  raw_server& server = *static_cast<raw_server*>(argument);
+  server.connection =
+      bufferevent_socket_new(evconnlistener_get_base(listener), socket, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(server.connection, on_raw_read, nullptr, on_raw_event, argument);
+  bufferevent_enable(server.connection, EV_READ | EV_WRITE);
+}
+
+inline void listen_on_loopback(event_base* base, raw_server& server) {
+  std::signal(SIGPIPE, SIG_IGN);
+  sockaddr_in address = loopback(0);
+  server.listener = evconnlistener_new_bind(base, on_raw_accept, &server, LEV_OPT_CLOSE_ON_FREE, -1,
+                                            reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  server.address = bound_address(evconnlistener_get_fd(server.listener));
+}
+
+// A caller that writes raw bytes and keeps what it reads.
+struct raw_caller {
+  std::string received;
+  bool closed = false;
+  bufferevent* connection = nullptr;
+  ~raw_caller() {
+    bufferevent_free(connection);
+  }
+};
+
+inline void on_caller_read(bufferevent* connection, void* argument) {
+  evbuffer* input = bufferevent_get_input(connection);
+  std::string bytes(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, bytes.data(), bytes.size());
+  static_cast<raw_caller*>(argument)->received += bytes;
+}
+
+inline void on_caller_event(bufferevent* connection, short events, void* argument) {
+  if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    on_caller_read(connection, argument);
+    static_cast<raw_caller*>(argument)->closed = true;
+  }
+}
+
+inline void connect_caller(event_base* base, raw_caller& caller, std::uint16_t port) {
+  sockaddr_in address = loopback(port);
+  caller.connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(caller.connection, on_caller_read, nullptr, on_caller_event, &caller);
+  bufferevent_enable(caller.connection, EV_READ | EV_WRITE);
+  bufferevent_socket_connect(caller.connection, reinterpret_cast<sockaddr*>(&address),
+                             sizeof(address));
+}
+
+inline void say(raw_caller& caller, const std::string& bytes) {
+  bufferevent_write(caller.connection, bytes.data(), bytes.size());
+}
+
+inline void hang_up(raw_caller& caller) {
+  shutdown(bufferevent_getfd(caller.connection), SHUT_RDWR);
+}
+
+}  // namespace peridot::testing
