Drop malformed peer messages at one place, and count them

Cause: the seal proves the key, not that the sender works. Times above the clock's range, numbers that wrap at the next grant, costs that are no number and shards no configuration can have reached the tables. A heartbeat from ever new addresses grew the membership table without bound. Ruled out: checks in each table; they would stand many times. Change: message_problem() bounds every field in router_on_message(); messages in the name of this router's own address are dropped; 4096 members at most.

--- a/core/router.h
+++ b/core/router.h
@@ -78,6 +78,7 @@
   std::map<target_name, instant> next_load_poll;
   std::map<router_address, instant> asked_document;  // last request to a peer
   std::vector<document_error> refused_config;        // of the newest document that was refused
+  std::uint64_t malformed_messages = 0;              // dropped by message_problem()
   bool stopping = false;
 };
 
@@ -86,7 +87,8 @@
 // Runs every table's periodic work.
 void router_tick(router_core& core, instant now, effects& todo);
 
-// Handles one authenticated peer message.
+// Handles one authenticated peer message. One that message_problem() objects to
+// is dropped and counted.
 void router_on_message(router_core& core, const router_identity& from,
                        const wire::peer_message& message, instant now, effects& todo);
 
--- a/core/router_internal.h
+++ b/core/router_internal.h
@@ -15,6 +15,9 @@
 // Shortest time between two document requests to one peer.
 inline constexpr std::chrono::milliseconds document_request_interval{500};
 
+// Routers that a membership table holds. A heartbeat of a further one is dropped.
+inline constexpr std::size_t max_members = 4'096;
+
 lease_context make_lease_context(const router_core& core);
 scheduler_context make_scheduler_context(const router_core& core);
 entry_context make_entry_context(const router_core& core);
--- a/core/router_messages.cc
+++ b/core/router_messages.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/check.h"
+#include "core/message_checks.h"
 #include "core/router_internal.h"
 
 namespace peridot {
@@ -15,6 +16,10 @@
 
 void handle_heartbeat(router_core& core, const router_identity& from,
                       const wire::peer_message& message, instant now, effects& todo) {
+  const bool known = core.members.members.contains(from.address);
+  if (!known && core.members.members.size() >= max_members) {
+    return;
+  }
   const heartbeat_effect effect = on_heartbeat(core.members, from, message.heartbeat(), now);
   on_suspects(core.entry, from.address, message.heartbeat().suspects(), now);
   if (effect == heartbeat_effect::known) {
@@ -143,6 +148,10 @@
 
 void router_on_message(router_core& core, const router_identity& from,
                        const wire::peer_message& message, instant now, effects& todo) {
+  if (message_problem(message, from, core.options.self.address)) {
+    ++core.malformed_messages;
+    return;
+  }
   handle_message(core, from, message, now, todo);
   deliver_to_self(core, now, todo);
 }
