Close requests of two readings, byte-wise senders and header injection; report drained output

Found by http_server_test, each failing before and passing after: - A Content-Length beside chunks was accepted, and what followed was read as a second request (2 requests handled, 0 expected). Such requests, two lengths and unknown codings now end the connection. - on_drained was never called (0 calls in 5 s): the library's write hook does not run while a request is paused, which it is until its answer ends. A caller that read slowly once stopped its run for good. The output buffer now tells. - Control characters in a target's header reached the caller as headers of their own. They become spaces. - An answer to HEAD carried its body, which the caller reads as the next answer. - A request that came byte by byte was held open without end; request_timeout. - Headers were bounded only once all had arrived; now while they arrive. Ruled out: resuming the connection between chunks, since the library then reads the next request into the middle of the answer.

--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -1,8 +1,10 @@
 #include "net/http_server.h"
 
+#include <strings.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -22,6 +24,7 @@
 // The library's request holds one of these until its fini hook.
 struct exchange_holder {
   std::shared_ptr<server_exchange> exchange;
+  http_listener* server = nullptr;
 };
 
 void detach(server_exchange& exchange) {
@@ -40,34 +43,52 @@
   }
 }
 
+// The library takes a second resumption as an error.
+void resume_request(evhtp_request_t* request) {
+  const int flags = evhtp_connection_get_flags(evhtp_request_get_connection(request));
+  if ((flags & EVHTP_CONN_FLAG_PAUSED) != 0) {
+    evhtp_request_resume(request);
+  }
+}
+
 // Ends the connection without completing the answer. The library notices the end
 // of its own accord and frees the connection, which it may be inside of now.
 void break_connection(evhtp_request_t* request) {
   shutdown(bufferevent_getfd(evhtp_request_get_bev(request)), SHUT_RDWR);
-  evhtp_request_resume(request);
+  resume_request(request);
 }
 
-// Called when everything written to the connection has left.
-evhtp_res on_write(evhtp_connection_t*, void* argument) {
-  if (argument == nullptr) {
-    return EVHTP_RES_OK;
-  }
+// Called when bytes have left for the connection. The library's own hook is not
+// called while the request is paused, which it is until its answer ends.
+void on_output_changed(evbuffer* output, const evbuffer_cb_info* info, void* argument) {
   const std::shared_ptr<server_exchange> exchange =
       static_cast<exchange_holder*>(argument)->exchange;
-  if (exchange->request != nullptr && exchange->on_drained) {
+  const bool drained = info->n_deleted > 0 && evbuffer_get_length(output) == 0;
+  if (drained && exchange->request != nullptr && exchange->on_drained) {
     exchange->on_drained();
   }
-  return EVHTP_RES_OK;
 }
 
-void set_write_hook(evhtp_connection_t* connection, exchange_holder* holder) {
-  evhtp_connection_set_hook(connection, evhtp_hook_on_write, as_hook(on_write), holder);
+evbuffer* output_of(evhtp_request_t* request) {
+  return bufferevent_get_output(evhtp_request_get_bev(request));
+}
+
+// Starts the time within which the next request has to arrive.
+void await_request(http_listener& server, evhtp_connection_t* handle) {
+  auto found = server.open.find(handle);
+  if (found == server.open.end()) {
+    return;
+  }
+  found->second.header_bytes = 0;
+  const timeval limit = to_timeval(server.options.request_timeout);
+  event_add(found->second.deadline.get(), &limit);
 }
 
 // Called before the library frees the request, whatever the reason.
 evhtp_res on_request_fini(evhtp_request_t* request, void* argument) {
   const std::unique_ptr<exchange_holder> holder(static_cast<exchange_holder*>(argument));
-  set_write_hook(evhtp_request_get_connection(request), nullptr);
+  evbuffer_remove_cb(output_of(request), on_output_changed, holder.get());
+  await_request(*holder->server, evhtp_request_get_connection(request));
   caller_left(*holder->exchange);
   return EVHTP_RES_OK;
 }
@@ -94,6 +115,8 @@
   exchange->base = base;
   exchange->request = request;
   exchange->is_post = request->method == htp_method_POST;
+  exchange->is_head = request->method == htp_method_HEAD;
+  exchange->can_stream = request->proto == EVHTP_PROTO_11;
   if (request->uri != nullptr && request->uri->path != nullptr &&
       request->uri->path->full != nullptr) {
     exchange->path = request->uri->path->full;
@@ -112,9 +135,13 @@
 void on_request(evhtp_request_t* request, void* argument) {
   http_listener& server = *static_cast<http_listener*>(argument);
   std::shared_ptr<server_exchange> exchange = read_request(server.base, request);
-  exchange_holder* holder = new exchange_holder{exchange};
+  exchange_holder* holder = new exchange_holder{exchange, &server};
   evhtp_request_set_hook(request, evhtp_hook_on_request_fini, as_hook(on_request_fini), holder);
-  set_write_hook(evhtp_request_get_connection(request), holder);
+  evbuffer_add_cb(output_of(request), on_output_changed, holder);
+  auto connection = server.open.find(evhtp_request_get_connection(request));
+  if (connection != server.open.end()) {
+    event_del(connection->second.deadline.get());
+  }
   const evutil_socket_t socket = bufferevent_getfd(evhtp_request_get_bev(request));
   exchange->closed_event.reset(
       event_new(server.base, socket, EV_CLOSED | EV_PERSIST, on_closed, exchange.get()));
@@ -123,20 +150,55 @@
   server.handler(exchange);
 }
 
-evhtp_res on_headers(evhtp_request_t* request, evhtp_headers_t* headers, void* argument) {
-  const http_listener& server = *static_cast<const http_listener*>(argument);
-  std::size_t bytes = 0;
-  for (evhtp_kv_t* entry = headers->tqh_first; entry != nullptr; entry = entry->next.tqe_next) {
-    bytes += entry->klen + entry->vlen;
+// Bounds the headers while they arrive: the library keeps them all.
+evhtp_res on_header(evhtp_request_t* request, evhtp_header_t* header, void* argument) {
+  http_listener& server = *static_cast<http_listener*>(argument);
+  auto connection = server.open.find(evhtp_request_get_connection(request));
+  if (connection == server.open.end()) {
+    return EVHTP_RES_ERROR;
   }
-  (void)request;
-  return bytes > server.options.max_header_bytes ? EVHTP_RES_400 : EVHTP_RES_OK;
+  connection->second.header_bytes += header->klen + header->vlen;
+  return connection->second.header_bytes > server.options.max_header_bytes ? EVHTP_RES_BADREQ
+                                                                           : EVHTP_RES_OK;
 }
 
-evhtp_res on_connection_fini(evhtp_connection_t*, void* argument) {
+bool is_header(const evhtp_kv_t& entry, std::string_view name) {
+  return entry.klen == name.size() && strncasecmp(entry.key, name.data(), name.size()) == 0;
+}
+
+// Another reader of this request, or of what follows it, could see its end at
+// another place.
+bool has_ambiguous_end(const evhtp_headers_t& headers) {
+  std::size_t lengths = 0;
+  std::size_t codings = 0;
+  bool known_coding = true;
+  for (evhtp_kv_t* entry = headers.tqh_first; entry != nullptr; entry = entry->next.tqe_next) {
+    lengths += is_header(*entry, "Content-Length") ? 1U : 0U;
+    if (is_header(*entry, "Transfer-Encoding")) {
+      ++codings;
+      known_coding = entry->vlen == 7 && strncasecmp(entry->val, "chunked", entry->vlen) == 0;
+    }
+  }
+  return lengths + codings > 1 || !known_coding;
+}
+
+evhtp_res on_headers(evhtp_request_t*, evhtp_headers_t* headers, void*) {
+  return has_ambiguous_end(*headers) ? EVHTP_RES_BADREQ : EVHTP_RES_OK;
+}
+
+// The request did not arrive in time. The library notices the end and frees the
+// connection.
+void on_deadline(evutil_socket_t, short, void* argument) {
+  evhtp_connection_t* handle = static_cast<evhtp_connection_t*>(argument);
+  shutdown(bufferevent_getfd(evhtp_connection_get_bev(handle)), SHUT_RDWR);
+}
+
+evhtp_res on_connection_fini(evhtp_connection_t* handle, void* argument) {
   http_listener& server = *static_cast<http_listener*>(argument);
-  PERIDOT_CHECK(server.connections > 0, "connections are counted wrongly");
+  const std::size_t removed = server.open.erase(handle);
   --server.connections;
+  PERIDOT_CHECK(removed == 1 && server.connections == server.open.size(),
+                "connections are counted wrongly");
   return EVHTP_RES_OK;
 }
 
@@ -146,16 +208,36 @@
     return EVHTP_RES_ERROR;
   }
   ++server.connections;
+  http_connection& state = server.open[connection];
+  state.handle = connection;
+  state.deadline.reset(evtimer_new(server.base, on_deadline, connection));
+  await_request(server, connection);
   evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, as_hook(on_connection_fini),
                             argument);
+  evhtp_connection_set_hook(connection, evhtp_hook_on_header, as_hook(on_header), argument);
   evhtp_connection_set_hook(connection, evhtp_hook_on_headers, as_hook(on_headers), argument);
   return EVHTP_RES_OK;
 }
 
+// The library writes values as they are; one with a line end in it would become
+// further headers, or an answer of its own.
+std::string header_value(std::string_view value) {
+  std::string result(value);
+  std::replace_if(
+      result.begin(), result.end(),
+      [](char byte) {
+        const unsigned char code = static_cast<unsigned char>(byte);
+        return code < 0x20 || code == 0x7f;
+      },
+      ' ');
+  return result;
+}
+
 void add_headers(evhtp_request_t* request, const std::vector<http_header>& headers) {
   for (const http_header& header : headers) {
+    const std::string value = header_value(header.value);
     evhtp_headers_add_header(request->headers_out,
-                             evhtp_header_new(header.name.c_str(), header.value.c_str(), 1, 1));
+                             evhtp_header_new(header.name.c_str(), value.c_str(), 1, 1));
   }
 }
 
@@ -197,9 +279,13 @@
   }
   detach(exchange);
   add_headers(request, headers);
-  evbuffer_add(request->buffer_out, body.data(), body.size());
+  if (exchange.is_head) {
+    add_headers(request, {{"Content-Length", std::to_string(body.size())}});
+  } else {
+    evbuffer_add(request->buffer_out, body.data(), body.size());
+  }
   evhtp_send_reply(request, static_cast<evhtp_res>(status));
-  evhtp_request_resume(request);
+  resume_request(request);
 }
 
 void reply_begin(server_exchange& exchange, int status, const std::vector<http_header>& headers) {
@@ -227,7 +313,7 @@
   }
   detach(exchange);
   evhtp_send_reply_chunk_end(request);
-  evhtp_request_resume(request);
+  resume_request(request);
 }
 
 void reply_abort(server_exchange& exchange) {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -11,10 +11,16 @@
 //   reply_abort(...);   // a streamed answer that cannot be completed: the
 //                       // connection closes without the last chunk
 //
-// Bad input: oversized headers or bodies, and malformed requests, are answered
-// with a 4xx status by the server and never reach the handler. Connections
-// beyond the limit are closed at once. A caller that leaves is noticed at once,
-// also while nothing is being sent; `on_gone` is then called once.
+// Bad input: oversized headers or bodies, malformed requests, and requests whose
+// end two readers could see at different places (a length beside chunks, two
+// lengths, an unknown coding) end the connection, where possible with a 4xx
+// status, and never reach the handler. A caller that stalls, or sends a request
+// byte by byte beyond `request_timeout`, is closed, as are connections beyond the
+// limit. Control characters in header values of answers become spaces. An answer
+// to HEAD has its headers only.
+//
+// A caller that leaves, or closes its side for writing, is noticed at once, also
+// while nothing is being sent; `on_gone` is then called once.
 //
 // Thread safety: none; one loop.
 #pragma once
@@ -23,6 +29,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -39,12 +46,15 @@
   std::size_t max_connections = 4'096;
   std::size_t max_header_bytes = 16'384;
   std::size_t max_body_bytes = 1 << 20;
-  std::chrono::milliseconds read_timeout{30'000};   // of a request that stalls
-  std::chrono::milliseconds write_timeout{60'000};  // of a caller that reads nothing
+  std::chrono::milliseconds read_timeout{30'000};      // of a request that stalls
+  std::chrono::milliseconds write_timeout{60'000};     // of a caller that reads nothing
+  std::chrono::milliseconds request_timeout{120'000};  // for a whole request to arrive
 };
 
 struct server_exchange {
   bool is_post = false;
+  bool is_head = false;
+  bool can_stream = false;  // HTTP/1.1: the end of a chunked answer can be told
   std::string path;
   std::string query;
   std::vector<http_header> headers;
@@ -59,12 +69,20 @@
 
 using exchange_handler = std::function<void(const std::shared_ptr<server_exchange>&)>;
 
+// One connection, until the library frees it.
+struct http_connection {
+  evhtp_connection_t* handle = nullptr;
+  std::size_t header_bytes = 0;  // of the request that is being read
+  event_ptr deadline;            // runs while a request is awaited or read
+};
+
 struct http_listener {
   event_base* base = nullptr;
   server_options options;
   exchange_handler handler;
   evhtp_t* library = nullptr;
   std::size_t connections = 0;
+  std::map<evhtp_connection_t*, http_connection> open;  // one entry each
 };
 
 // Fails at step "bind" if the address cannot be bound.
