Read queued peer messages without nesting, and some at a time

Cause: after each message the process sends and then reads again, from within the handler: a queue of n messages became n levels of the stack. After: depth 1, in order. Also: a flood is read 1000 messages at a time, so that callers get their turn; an interrupted read no longer throws out of the loop; the library's limit of 1023 sockets threw before max_peers was reached; it is raised, and caught. Seal, version, address, incarnation, doubled, truncated, huge and many-part messages: as documented before and after.

--- a/net/mesh.cc
+++ b/net/mesh.cc
@@ -1,5 +1,6 @@
 #include "net/mesh.h"
 
+#include <cerrno>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -15,6 +16,7 @@
 constexpr int reconnect_ms = 100;
 constexpr int reconnect_max_ms = 2'000;
 constexpr int connect_timeout_ms = 2'000;
+constexpr int max_sockets = static_cast<int>(max_peers) + 16;  // the library's own limit is 1023
 constexpr std::size_t max_remembered_senders = 4 * max_peers;
 
 void on_readable(evutil_socket_t, short, void* argument) {
@@ -29,14 +31,15 @@
   if (peers.peers.size() >= max_peers) {
     return nullptr;
   }
-  zmq::socket_t socket(peers.context, zmq::socket_type::dealer);
-  socket.set(zmq::sockopt::linger, linger_ms);
-  socket.set(zmq::sockopt::sndhwm, queue_limit);
-  socket.set(zmq::sockopt::immediate, 1);
-  socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
-  socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
-  socket.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
+  zmq::socket_t socket;
   try {
+    socket = zmq::socket_t(peers.context, zmq::socket_type::dealer);
+    socket.set(zmq::sockopt::linger, linger_ms);
+    socket.set(zmq::sockopt::sndhwm, queue_limit);
+    socket.set(zmq::sockopt::immediate, 1);
+    socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
+    socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
+    socket.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
     socket.connect("tcp://" + address.value);
   } catch (const zmq::error_t& error) {
     log_line(log_part::mesh, log_level::warn,
@@ -47,6 +50,38 @@
   return &peers.peers.emplace(address, mesh_peer{std::move(socket)}).first->second;
 }
 
+// One part of a message; false if there is none now.
+bool receive_part(zmq::socket_t& socket, zmq::message_t& part) {
+  try {
+    return socket.recv(part, zmq::recv_flags::dontwait).has_value();
+  } catch (const zmq::error_t& error) {
+    if (error.num() != EINTR) {
+      log_line(log_part::mesh, log_level::warn,
+               std::string("Message cannot be read. step=receive error=") + error.what());
+    }
+    return false;  // the next turn of the loop reads on
+  }
+}
+
+// The second part of a message, empty if it has one only. The first is the
+// library's name of the connection; further ones are ignored.
+bool receive_body(zmq::socket_t& socket, zmq::message_t& body) {
+  zmq::message_t part;
+  if (!receive_part(socket, part)) {
+    return false;
+  }
+  body.rebuild();
+  for (std::size_t index = 1; part.more(); ++index) {
+    if (!receive_part(socket, part)) {
+      return false;
+    }
+    if (index == 1) {
+      body.copy(part);
+    }
+  }
+  return true;
+}
+
 void receive_one(mesh& peers, std::string_view bytes) {
   ++peers.counters.received;
   peers.counters.received_bytes += bytes.size();
@@ -76,6 +111,7 @@
   peers->options = options;
   peers->handler = std::move(handler);
   peers->base = base;
+  peers->context.set(zmq::ctxopt::max_sockets, max_sockets);
   peers->inbound = zmq::socket_t(peers->context, zmq::socket_type::router);
   peers->inbound.set(zmq::sockopt::linger, linger_ms);
   peers->inbound.set(zmq::sockopt::rcvhwm, queue_limit);
@@ -121,27 +157,22 @@
 }
 
 void receive_messages(mesh& peers) {
+  // The handler may send, and its caller may then read: reading nests no deeper,
+  // or a queue of messages would become as many frames of the stack.
+  if (peers.receiving) {
+    return;
+  }
+  peers.receiving = true;
   // The descriptor is edge-triggered: read until nothing is left.
-  while (true) {
-    zmq::message_t identity;
-    if (!peers.inbound.recv(identity, zmq::recv_flags::dontwait)) {
-      return;
-    }
-    zmq::message_t body;
-    bool first = true;
-    bool more = identity.more();
-    while (more) {
-      zmq::message_t part;
-      if (!peers.inbound.recv(part, zmq::recv_flags::dontwait)) {
-        return;
-      }
-      more = part.more();
-      if (first) {
-        body = std::move(part);
-        first = false;
-      }
-    }
+  std::size_t left = max_messages_at_once;
+  zmq::message_t body;
+  while (left > 0 && receive_body(peers.inbound, body)) {
     receive_one(peers, body.to_string_view());
+    --left;
+  }
+  peers.receiving = false;
+  if (left == 0) {
+    event_active(peers.readable.get(), EV_READ, 1);
   }
 }
 
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -10,7 +10,9 @@
 //   leaf::result<std::unique_ptr<mesh>> peers = start_mesh(base, options, on_message);
 //   send_message(*peers, outgoing, event_sequence);
 //
-// Budget: `max_peers` connections and `max_message_bytes` a message.
+// Budget: `max_peers` connections and `max_message_bytes` a message. One call of
+// receive_messages() reads at most `max_messages_at_once` and leaves the rest to
+// the loop's next turn, so that a flood of messages does not keep callers waiting.
 // Thread safety: none; one loop. The library runs one thread of its own.
 #pragma once
 
@@ -32,6 +34,7 @@
 
 inline constexpr std::size_t max_message_bytes = 2 << 20;
 inline constexpr std::size_t max_peers = 4'096;
+inline constexpr std::size_t max_messages_at_once = 1'000;
 
 struct mesh_options {
   router_identity self;
@@ -69,6 +72,7 @@
   std::map<router_address, mesh_peer> peers;
   std::uint64_t sequence = 0;  // of the newest message sent, over all peers
   std::map<router_identity, std::uint64_t> newest_sequence;
+  bool receiving = false;  // within receive_messages()
   mesh_counters counters;
 };
 
@@ -78,7 +82,8 @@
 
 void send_message(mesh& peers, const outgoing_message& message, std::uint64_t event_sequence);
 
-// Reads everything that has arrived. Also called by the loop.
+// Reads what has arrived. Also called by the loop. Without effect from within the
+// handler: the outer call goes on reading.
 void receive_messages(mesh& peers);
 
 // Closes the connections to peers that are not in `keep`.
--- /dev/null
+++ b/net/testing/mesh_test.cc
@@ -0,0 +1,190 @@
+#include "net/mesh.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "core/mac.h"
+#include "net/testing/raw_peers.h"
+
+namespace peridot {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* fleet_key = "0123456789abcdef";
+
+struct mesh_bench {
+  event_base_ptr base{event_base_new()};
+  std::unique_ptr<mesh> receiver;
+  std::vector<std::uint64_t> handled;  // sequence numbers
+  zmq::context_t context{1};
+  zmq::socket_t stranger{context, zmq::socket_type::dealer};
+};
+
+void start_bench(mesh_bench& bench) {
+  const router_identity self{router_address{testing::unused_address()}, 5};
+  const message_handler handler = [&bench](const router_identity&,
+                                           const wire::peer_message& message) {
+    bench.handled.push_back(message.sequence());
+    receive_messages(*bench.receiver);  // as the process does after it has sent
+  };
+  bench.receiver = leaf::try_handle_all(
+      [&]() {
+        return start_mesh(bench.base.get(), {self, "receiver", fleet_key}, handler);
+      },
+      []() { return std::unique_ptr<mesh>(); });
+  REQUIRE(bench.receiver != nullptr);
+  bench.stranger.set(zmq::sockopt::linger, 0);
+  bench.stranger.connect("tcp://" + self.address.value);
+}
+
+wire::peer_message good_message(const mesh_bench& bench, std::uint64_t sequence) {
+  wire::peer_message message;
+  message.set_protocol(protocol_version);
+  message.set_from_address("127.0.0.1:7499");
+  message.set_from_incarnation(9);
+  message.set_to_address(bench.receiver->options.self.address.value);
+  message.set_sequence(sequence);
+  message.mutable_document_request();
+  return message;
+}
+
+std::string sealed(const wire::peer_message& message, const std::string& key = fleet_key) {
+  wire::sealed_message outer;
+  message.SerializeToString(outer.mutable_payload());
+  outer.set_mac(make_mac(key, outer.payload()));
+  return outer.SerializeAsString();
+}
+
+void send_bytes(mesh_bench& bench, const std::string& bytes) {
+  bench.stranger.send(zmq::buffer(bytes), zmq::send_flags::none);
+}
+
+bool wait_received(mesh_bench& bench, std::uint64_t messages) {
+  return testing::run_until(bench.base.get(),
+                            [&]() { return bench.receiver->counters.received >= messages; });
+}
+
+TEST_CASE("only sealed, fresh messages to this run of this router are handled") {
+  mesh_bench bench;
+  start_bench(bench);
+  const mesh_counters& counters = bench.receiver->counters;
+  wire::peer_message message = good_message(bench, 7);
+  send_bytes(bench, sealed(message));
+  REQUIRE(wait_received(bench, 1));
+  REQUIRE(bench.handled.size() == 1);
+  message.set_sequence(8);
+  SUBCASE("a stranger without the key cannot steer") {
+    send_bytes(bench, sealed(message, "another key 16 b"));
+    REQUIRE(wait_received(bench, 2));
+    CHECK(counters.bad_seal == 1);
+  }
+  SUBCASE("one changed byte") {
+    std::string bytes = sealed(message);
+    bytes[bytes.size() / 2] = static_cast<char>(bytes[bytes.size() / 2] ^ 1);
+    send_bytes(bench, bytes);
+    REQUIRE(wait_received(bench, 2));
+    CHECK(counters.bad_seal + counters.malformed == 1);
+  }
+  SUBCASE("every truncation") {
+    const std::string bytes = sealed(message);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+      send_bytes(bench, bytes.substr(0, length));
+    }
+    REQUIRE(wait_received(bench, 1 + bytes.size()));
+    CHECK(counters.bad_seal + counters.malformed == bytes.size());
+  }
+  SUBCASE("a sealed payload that is no message") {
+    wire::sealed_message outer;
+    outer.set_payload("\xff\xff\xff");
+    outer.set_mac(make_mac(fleet_key, outer.payload()));
+    send_bytes(bench, outer.SerializeAsString());
+    REQUIRE(wait_received(bench, 2));
+    CHECK(counters.malformed == 1);
+  }
+  SUBCASE("another version") {
+    message.set_protocol(protocol_version + 1);
+    send_bytes(bench, sealed(message));
+    REQUIRE(wait_received(bench, 2));
+    CHECK(counters.wrong_version == 1);
+  }
+  SUBCASE("another address, or an earlier run of this router") {
+    message.set_to_incarnation(4);
+    send_bytes(bench, sealed(message));
+    message.set_to_incarnation(5);
+    message.set_to_address("127.0.0.1:7400");
+    send_bytes(bench, sealed(message));
+    REQUIRE(wait_received(bench, 3));
+    CHECK(counters.misaddressed == 2);
+  }
+  SUBCASE("doubled, or overtaken") {
+    message.set_sequence(7);
+    send_bytes(bench, sealed(message));
+    message.set_sequence(6);
+    send_bytes(bench, sealed(message));
+    REQUIRE(wait_received(bench, 3));
+    CHECK(counters.repeated == 2);
+  }
+  CHECK(bench.handled.size() == 1);
+  // The next good one is still handled.
+  send_bytes(bench, sealed(good_message(bench, 100)));
+  CHECK(testing::run_until(bench.base.get(), [&]() { return bench.handled.size() == 2; }));
+}
+
+TEST_CASE("huge and odd messages end the connection or are dropped") {
+  mesh_bench bench;
+  start_bench(bench);
+  SUBCASE("longer than a message may be") {
+    wire::peer_message message = good_message(bench, 1);
+    message.mutable_document()->set_text(std::string(max_message_bytes, 'x'));
+    send_bytes(bench, sealed(message));
+    testing::run_for(bench.base.get(), milliseconds{100});
+    CHECK(bench.receiver->counters.received == 0);
+  }
+  SUBCASE("no part, and many parts") {
+    bench.stranger.send(zmq::message_t(), zmq::send_flags::none);
+    const std::string bytes = sealed(good_message(bench, 1));
+    for (int part = 0; part < 20; ++part) {
+      bench.stranger.send(zmq::buffer(bytes), zmq::send_flags::sndmore);
+    }
+    bench.stranger.send(zmq::buffer(bytes), zmq::send_flags::none);
+    REQUIRE(wait_received(bench, 2));
+    CHECK(bench.receiver->counters.malformed + bench.receiver->counters.bad_seal == 1);
+    CHECK(bench.handled.size() == 1);
+  }
+  zmq::socket_t other(bench.context, zmq::socket_type::dealer);
+  other.set(zmq::sockopt::linger, 0);
+  other.connect("tcp://" + bench.receiver->options.self.address.value);
+  other.send(zmq::buffer(sealed(good_message(bench, 50))), zmq::send_flags::none);
+  CHECK(testing::run_until(bench.base.get(),
+                           [&]() { return !bench.handled.empty() && bench.handled.back() == 50; }));
+}
+
+TEST_CASE("a long queue of messages is read without nesting, and in order") {
+  mesh_bench bench;
+  start_bench(bench);
+  constexpr std::uint64_t messages = 30'000;
+  std::size_t depth = 0;
+  std::size_t deepest = 0;
+  bench.receiver->handler = [&](const router_identity&, const wire::peer_message& message) {
+    deepest = std::max(deepest, ++depth);
+    bench.handled.push_back(message.sequence());
+    receive_messages(*bench.receiver);
+    --depth;
+  };
+  bench.stranger.set(zmq::sockopt::sndhwm, 0);
+  std::uint64_t sent = 0;
+  CHECK(testing::run_until(bench.base.get(), [&]() {
+    while (sent < messages) {
+      const std::string bytes = sealed(good_message(bench, ++sent));
+      send_bytes(bench, bytes);
+    }
+    return bench.handled.size() == messages;
+  }));
+  CHECK(deepest == 1);
+  CHECK(std::is_sorted(bench.handled.begin(), bench.handled.end()));
+}
+
+}  // namespace
+}  // namespace peridot
