--- a/experiment/testing/fleet_test.cc
+++ b/experiment/testing/fleet_test.cc
@@ -23,6 +23,9 @@
 // grant's validity and the way to the target.
 constexpr duration withdrawal_bound = seconds{5};
 
+// Users' target: a configuration is in force everywhere within 18 s.
+constexpr duration spread_bound = seconds{18};
+
 std::string first_violation(const fleet_report& report) {
   return report.violations.empty() ? "" : report.violations.front();
 }
@@ -123,7 +126,9 @@
     for (std::uint64_t seed = first_seed; seed < first_seed + 40; ++seed) {
       CAPTURE(seed);
       options.seed = seed;
-      CHECK(run_fleet(options).latest_withdrawn_work < withdrawal_bound);
+      const fleet_report report = run_fleet(options);
+      CHECK(report.latest_withdrawn_work < withdrawal_bound);
+      CHECK(report.longest_config_spread < spread_bound);
     }
   }
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -25,17 +25,32 @@
   fi
 }
 
-# unit BINARY: runs a doctest binary and counts its test cases.
-unit() {
-  local binary=$1 output summary good bad
+# units FOLDER: runs the doctest binaries of a build side by side, and counts
+# their test cases.
+units() {
+  local folder=$1 logs binary pids=() names=() index
+  logs=$(mktemp -d)
+  for binary in "$folder"/*_tests; do
+    "$binary" --no-colors=true >"$logs/$(basename "$binary")" 2>&1 &
+    pids+=($!)
+    names+=("$binary")
+  done
+  for index in "${!pids[@]}"; do
+    wait "${pids[$index]}"
+    count_unit "${names[$index]}" $? "$logs/$(basename "${names[$index]}")"
+  done
+  rm -rf "$logs"
+}
+
+# count_unit BINARY STATUS LOG: adds the test cases of one binary.
+count_unit() {
+  local binary=$1 status=$2 log=$3 summary good bad
   echo "== $binary"
-  output=$("$binary" --no-colors=true 2>&1)
-  local status=$?
-  summary=$(grep -E '^\[doctest\] test cases:' <<<"$output" | tail -1)
+  summary=$(grep -E '^\[doctest\] test cases:' "$log" | tail -1)
   good=$(sed -nE 's/.*\| *([0-9]+) passed.*/\1/p' <<<"$summary")
   bad=$(sed -nE 's/.*\| *([0-9]+) failed.*/\1/p' <<<"$summary")
   if [ "$status" -ne 0 ] || [ -z "$summary" ] || [ "${good:-0}" -eq 0 ]; then
-    tail -60 <<<"$output"
+    tail -60 "$log"
     [ "${bad:-0}" -gt 0 ] || bad=$((${bad:-0} + 1))
     failures+=("$binary")
   fi
@@ -48,13 +63,9 @@
 step "format" scripts/lint.sh format
 step "build" scripts/build.sh release
 step "lint" scripts/lint.sh tidy
-for binary in build/*_tests; do
-  unit "$binary"
-done
+units build
 step "build with sanitizers" scripts/build.sh sanitize
-for binary in build-sanitize/*_tests; do
-  unit "$binary"
-done
+units build-sanitize
 for script in scripts/process_tests/*.sh; do
   [ -e "$script" ] || continue
   case $(basename "$script") in lib.sh) continue ;; esac
