--- a/net/platform.cc
+++ b/net/platform.cc
@@ -2,7 +2,9 @@
 //
 // Only routers that should watch hold a waiting watch; the others learn of new
 // versions from their peers. A failed watch is tried again after a pause that
-// doubles up to a bound, so that a service that is down is not called in a loop.
+// doubles up to a bound, so that a service that is down is not called in a loop. So
+// is one that answers with a copy of no use, old or bad; that bound is shorter, as
+// a better copy may come at any time. A bad copy is logged once, not at each answer.
 
 #include <algorithm>
 #include <charconv>
@@ -14,8 +16,10 @@
 namespace peridot {
 namespace {
 
+constexpr std::chrono::milliseconds no_backoff{0};
 constexpr std::chrono::milliseconds first_backoff{250};
 constexpr std::chrono::milliseconds longest_backoff{5'000};
+constexpr std::chrono::milliseconds longest_useless_backoff{2'000};
 constexpr std::chrono::milliseconds watch_slack{2'000};  // beyond the wait that was asked for
 constexpr std::chrono::milliseconds load_timeout{1'000};
 constexpr std::size_t max_load_report_bytes = 4'096;
@@ -31,6 +35,12 @@
   return kind == wire::document_configuration ? "config" : "instances";
 }
 
+// True if the copy differs from the one that was refused last, and notes it.
+bool is_new_refusal(value_watch& watch) {
+  const std::uint64_t hash = stable_hash(watch.text);
+  return std::exchange(watch.refused_hash, hash) != hash;
+}
+
 void accept_document(router_process& process, value_watch& watch) {
   effects todo;
   const document_verdict verdict = router_on_document(
@@ -38,10 +48,11 @@
   carry_out(process, todo);
   const std::string what = value_name(watch.kind);
   if (verdict == document_verdict::accepted) {
+    watch.refused_hash = 0;
     log_line(log_part::config, log_level::info,
              "Document is in force. value=" + what +
                  " version=" + std::to_string(known_version(process.core, watch.kind)));
-  } else if (verdict == document_verdict::refused) {
+  } else if (verdict == document_verdict::refused && is_new_refusal(watch)) {
     log_line(log_part::config, log_level::error,
              "Document is refused. value=" + what +
                  " problem=" + to_text(process.core.refused_config.front()));
@@ -57,15 +68,14 @@
     watch.next_try = now + watch.backoff;
     return;
   }
-  watch.backoff = std::chrono::milliseconds{0};
-  watch.next_try = now;
+  const std::uint64_t before = known_version(process.core, watch.kind);
   if (watch.status == 200) {
-    const std::uint64_t before = known_version(process.core, watch.kind);
     accept_document(process, watch);
-    if (known_version(process.core, watch.kind) == before) {
-      watch.next_try = now + first_backoff;  // the service serves an old or a bad copy
-    }
   }
+  const bool useless = watch.status == 200 && known_version(process.core, watch.kind) == before;
+  watch.backoff =
+      useless ? std::clamp(watch.backoff * 2, first_backoff, longest_useless_backoff) : no_backoff;
+  watch.next_try = now + watch.backoff;
 }
 
 void start_watch(router_process& process, value_watch& watch) {
--- a/net/process_internal.h
+++ b/net/process_internal.h
@@ -63,6 +63,7 @@
   instant next_try{};
   std::chrono::milliseconds backoff{0};
   std::uint64_t calls = 0;
+  std::uint64_t refused_hash = 0;  // of the last copy that was refused
 };
 
 struct load_poll {
