Keep a value of several words together in the tables of peridotctl status

Cause: a status line was split at each space and words without "=" were taken for the kind of the line, so that the problem of a refused document became the heading of a table and its own column was cut. Change: such a word after the first field belongs to the value before it.

--- a/core/status_report.cc
+++ b/core/status_report.cc
@@ -36,6 +36,10 @@
     if (field.empty()) {
       continue;
     }
+    if (equals == std::string_view::npos && line.keys.size() > 1) {
+      line.values.back() += " " + printable(field);
+      continue;
+    }
     if (equals == std::string_view::npos) {
       line.kind += (line.kind.empty() ? "" : " ") + printable(field);
       continue;
--- a/core/status_report.h
+++ b/core/status_report.h
@@ -1,8 +1,9 @@
 // Tables of what routers say about themselves, for operators.
 //
 // A router's status is lines of `key=value` fields; a first word without '='
-// names the kind of line. Lines of one kind with the same keys, of all routers,
-// form one table. Nothing is assumed about which keys there are.
+// names the kind of line, and a later one belongs to the value before it. Lines
+// of one kind with the same keys, of all routers, form one table. Nothing is
+// assumed about which keys there are.
 //
 // Thread safety: pure functions.
 #pragma once
