--- a/net/callers.cc
+++ b/net/callers.cc
@@ -12,7 +12,9 @@
 namespace peridot {
 namespace {
 
-constexpr std::size_t max_name_bytes = 128;
+constexpr std::size_t max_plain_name_bytes = 128;
+constexpr std::size_t max_joined = 16;  // repeats that wait for one call
+constexpr std::chrono::milliseconds joined_retry{1'000};
 constexpr std::uint64_t max_keys_per_request = 100;
 constexpr std::chrono::milliseconds key_budget_retry{1'000};
 constexpr std::chrono::milliseconds max_caller_deadline{3'600'000};
@@ -22,7 +24,7 @@
                                                "traceparent", "tracestate"};
 
 bool is_plain_name(std::string_view text) {
-  return !text.empty() && text.size() <= max_name_bytes &&
+  return !text.empty() && text.size() <= max_plain_name_bytes &&
          std::all_of(text.begin(), text.end(), [](char byte) {
            const unsigned char value = static_cast<unsigned char>(byte);
            return value > 0x20 && value < 0x7f && value != '"' && value != '\\';
@@ -50,6 +52,9 @@
   const std::string_view profile = find_header(exchange.headers, "X-Profile");
   if (!exchange.is_post) {
     call.problem = "Only POST is served here.";
+  } else if (!exchange.can_stream) {
+    // The end of the answer could not be told from a broken connection.
+    call.problem = "HTTP/1.1 is needed.";
   } else if (!is_plain_name(organisation)) {
     call.problem = "The header X-Organisation is missing or not a name.";
   } else if (!is_plain_name(profile)) {
@@ -136,7 +141,7 @@
   call->organisation = read.request.organisation;
   call->profile = read.request.profile;
   call->headers = read.headers;
-  call->body = exchange->body;
+  call->body = std::move(exchange->body);
   call->arrived = now;
   if (key) {
     call->key_sequence = key->sequence;
@@ -170,11 +175,33 @@
   reply(exchange, answer.status, headers, answer.body);
 }
 
+// A repeat that waits holds its connection and no body. One that leaves is
+// forgotten; the call runs on.
 void join_call(router_process& process, const std::shared_ptr<server_exchange>& exchange,
                std::uint64_t sequence) {
   std::map<std::uint64_t, std::uint64_t>::iterator found = process.calls_by_key.find(sequence);
   PERIDOT_CHECK(found != process.calls_by_key.end(), "a running key has no call");
-  process.calls.at(found->second)->joined.push_back(exchange);
+  const std::uint64_t id = found->second;
+  std::vector<std::shared_ptr<server_exchange>>& joined = process.calls.at(id)->joined;
+  if (joined.size() >= max_joined) {
+    answer_failure(process, *exchange,
+                   {outcome::unknown, refusal::overloaded, joined_retry,
+                    "The call runs, and many repeats of it wait."});
+    return;
+  }
+  exchange->body.clear();
+  exchange->body.shrink_to_fit();
+  const server_exchange* left = exchange.get();
+  exchange->on_gone = [&process, id, left]() {
+    auto call = process.calls.find(id);
+    if (call != process.calls.end()) {
+      ++process.counts.callers_gone;
+      std::erase_if(call->second->joined, [left](const std::shared_ptr<server_exchange>& other) {
+        return other.get() == left;
+      });
+    }
+  };
+  joined.push_back(exchange);
 }
 
 void handle_keyed_call(router_process& process, const std::shared_ptr<server_exchange>& exchange,
@@ -184,8 +211,10 @@
     answer_failure(process, *exchange, {outcome::not_run, refusal::key_invalid, {}, ""});
     return;
   }
-  const begin_result begun =
-      begin_call(process.core.keys, *key, read.request.fingerprint, current_time());
+  // The profile says where and how the call runs: another one is another call.
+  const std::uint64_t fingerprint =
+      stable_hash(read.request.profile.value, read.request.fingerprint);
+  const begin_result begun = begin_call(process.core.keys, *key, fingerprint, current_time());
   switch (begun.what) {
     case begin_result::kind::start:
       queue_call(process, exchange, read, key);
--- a/net/platform.cc
+++ b/net/platform.cc
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <utility>
 
+#include "core/name_text.h"
 #include "net/log.h"
 #include "net/process_internal.h"
 
@@ -19,6 +20,9 @@
 constexpr std::chrono::milliseconds watch_slack{2'000};  // beyond the wait that was asked for
 constexpr std::chrono::milliseconds load_timeout{1'000};
 constexpr std::size_t max_load_report_bytes = 4'096;
+constexpr std::uint64_t max_reported_calls = 1'000'000;
+constexpr std::uint64_t max_reported_completed = std::uint64_t{1} << 60;
+constexpr std::chrono::milliseconds max_report_age{86'400'000};
 
 std::uint64_t known_version(const router_core& core, wire::document_kind kind) {
   if (kind == wire::document_configuration) {
@@ -84,18 +88,19 @@
   call_handlers handlers;
   handlers.on_head = [&watch](const answer_head& head) { watch.status = head.status; };
   handlers.on_data = [&watch](std::string_view data) {
-    if (watch.text.size() + data.size() <= max_document_bytes) {
-      watch.text += data;
-    }
+    // What is beyond the bound must not be left out: the rest may read as a whole
+    // document. One byte more has it refused.
+    watch.text += data.substr(0, max_document_bytes + 1 - watch.text.size());
   };
   handlers.on_end = [&process, &watch](call_end end) { end_watch(process, watch, end); };
   watch.call = start_call(process.base.get(), call, std::move(handlers));
 }
 
-std::uint64_t parse_count(std::string_view text) {
+// A decimal number, 0 if there is none, `most` if it is larger.
+std::uint64_t parse_count(std::string_view text, std::uint64_t most) {
   std::uint64_t value = 0;
-  std::from_chars(text.data(), text.data() + text.size(), value);
-  return value;
+  const std::from_chars_result end = std::from_chars(text.data(), text.data() + text.size(), value);
+  return end.ec == std::errc::result_out_of_range ? most : std::min(value, most);
 }
 
 // Reads `key=value` words separated by spaces or newlines.
@@ -120,16 +125,19 @@
   const load_poll poll = std::move(found->second);
   process.polls.erase(found);
   const std::string_view boot_id = word_value(poll.text, "boot_id");
-  if (end != call_end::complete || boot_id.empty()) {
+  if (end != call_end::complete || poll.text.size() > max_load_report_bytes ||
+      !is_valid_name(boot_id)) {
     return;
   }
   load_report report;
   report.target = target;
   report.boot_id = std::string(boot_id);
-  report.running = static_cast<std::uint32_t>(parse_count(word_value(poll.text, "running")));
-  report.waiting = static_cast<std::uint32_t>(parse_count(word_value(poll.text, "waiting")));
-  report.completed = parse_count(word_value(poll.text, "completed"));
-  const std::uint64_t age = parse_count(word_value(poll.text, "age_ms"));
+  report.running =
+      static_cast<std::uint32_t>(parse_count(word_value(poll.text, "running"), max_reported_calls));
+  report.waiting =
+      static_cast<std::uint32_t>(parse_count(word_value(poll.text, "waiting"), max_reported_calls));
+  report.completed = parse_count(word_value(poll.text, "completed"), max_reported_completed);
+  const std::uint64_t age = parse_count(word_value(poll.text, "age_ms"), max_report_age.count());
   report.sampled_at = poll.started - std::chrono::milliseconds(age);
   effects todo;
   router_on_load_report(process.core, report, current_time(), todo);
@@ -163,9 +171,9 @@
   handlers.on_head = [](const answer_head&) {};
   handlers.on_data = [&process, name](std::string_view data) {
     std::map<target_name, load_poll>::iterator found = process.polls.find(name);
-    if (found != process.polls.end() &&
-        found->second.text.size() + data.size() <= max_load_report_bytes) {
-      found->second.text += data;
+    if (found != process.polls.end()) {
+      std::string& text = found->second.text;
+      text += data.substr(0, max_load_report_bytes + 1 - text.size());
     }
   };
   handlers.on_end = [&process, name](call_end end) { end_load_poll(process, name, end); };
