Refuse queued calls whose profile or organisation was withdrawn

Cause: such a call stayed queued and was granted; the process could not run it and reported its target as refusing, which made a healthy target cold and blocked it, again and again until the call's queue deadline. Ruled out: ignoring the grant in the process; the queue would feed the loop. Change: a new configuration gives up what waits and is not published any more, as not run; a run that ends gives its call up if it may not be queued again. Test: 'a profile is withdrawn while its calls wait and run'; without the change no decision is made (the refusal is what the test requires).

--- a/core/entry.h
+++ b/core/entry.h
@@ -316,4 +316,13 @@
 // Runs that end later may queue requests again: call it until none is running.
 std::vector<decision> refuse_queued(entry_table& table, refusal why, instant now);
 
+// Gives up the request if it is queued and the configuration in force has its
+// organisation or its profile no more, or has the profile in another pool.
+std::optional<decision> refuse_if_unpublished(entry_table& table, std::uint64_t request,
+                                              const entry_context& context, instant now);
+
+// The same for all queued requests. To be called for each new configuration.
+std::vector<decision> refuse_unpublished(entry_table& table, const entry_context& context,
+                                         instant now);
+
 }  // namespace peridot
--- a/core/entry_queues.cc
+++ b/core/entry_queues.cc
@@ -341,6 +341,40 @@
   return decisions;
 }
 
+std::optional<decision> refuse_if_unpublished(entry_table& table, std::uint64_t request,
+                                              const entry_context& context, instant now) {
+  const auto found = table.requests.find(request);
+  if (found == table.requests.end() || found->second.running) {
+    return std::nullopt;
+  }
+  request_row& row = found->second;
+  const profile_config* profile = find_profile(context.config, row.profile);
+  const bool has_profile = profile != nullptr && profile->pool == row.pool;
+  if (has_profile && find_organisation(context.config, row.organisation) != nullptr) {
+    return std::nullopt;
+  }
+  const refusal why = has_profile ? refusal::unknown_organisation : refusal::unknown_profile;
+  remove_queued(table, row, now);
+  return give_up(table, request, row.earlier_runs, why, std::chrono::milliseconds{0});
+}
+
+std::vector<decision> refuse_unpublished(entry_table& table, const entry_context& context,
+                                         instant now) {
+  std::vector<std::uint64_t> ids;
+  for (const std::pair<const std::uint64_t, request_row>& entry : table.requests) {
+    ids.push_back(entry.first);
+  }
+  std::vector<decision> decisions;
+  for (std::uint64_t id : ids) {
+    const std::optional<decision> refused = refuse_if_unpublished(table, id, context, now);
+    if (refused) {
+      decisions.push_back(*refused);
+    }
+  }
+  check_entry_table(table);
+  return decisions;
+}
+
 void check_entry_table(const entry_table& table) {
   std::map<organisation_name, std::size_t> counted;
   std::size_t total = 0;
--- a/core/router.cc
+++ b/core/router.cc
@@ -120,6 +120,14 @@
   }
   const decision what =
       on_target_done(core.entry, request, result, make_entry_context(core), now, todo.messages);
+  if (what.what == decision::kind::queued_again) {
+    // Its profile may have been withdrawn while it ran.
+    const std::optional<decision> refused =
+        refuse_if_unpublished(core.entry, request, make_entry_context(core), now);
+    if (refused) {
+      todo.decisions.push_back(*refused);
+    }
+  }
   event.kind = what.what == decision::kind::queued_again ? event_kind::request_retried
                                                          : event_kind::request_finished;
   event.detail = wire::finish_result_Name(result.result);
--- a/core/router_documents.cc
+++ b/core/router_documents.cc
@@ -60,6 +60,9 @@
         .peer = source,
         .detail = "version=" + std::to_string(fresh.version)},
        now);
+  for (const decision& refused : refuse_unpublished(core.entry, make_entry_context(core), now)) {
+    todo.decisions.push_back(refused);
+  }
   send_heartbeats(core.members, fleet_of(core), make_local_status(core, now), now, todo.messages);
   return document_verdict::accepted;
 }
--- a/core/testing/message_fuzz_test.cc
+++ b/core/testing/message_fuzz_test.cc
@@ -201,6 +201,49 @@
   }
 }
 
+TEST_CASE("a profile is withdrawn while its calls wait and run") {
+  fuzz_state state;
+  router_core core = make_core(state);
+  new_request request;
+  request.organisation = organisation_name{"bank"};
+  request.profile = profile_name{"explain"};
+  effects todo;
+  for (int turn = 0; turn < 400 && todo.dispatches.empty(); ++turn) {
+    state.now += std::chrono::milliseconds{20};
+    load_report report;
+    report.target = target_name{"engine-1"};
+    report.boot_id = "boot-1";
+    report.sampled_at = state.now;
+    router_on_load_report(core, report, state.now, todo);
+    if (core.entry.requests.empty()) {
+      router_submit(core, request, state.now, todo);
+    }
+    router_tick(core, state.now, todo);
+  }
+  REQUIRE(todo.dispatches.size() == 1);
+  const std::uint64_t running = todo.dispatches[0].request;
+  const submit_result waiting = router_submit(core, request, state.now, todo);
+  REQUIRE(waiting.accepted);
+  effects after;
+  std::string config =
+      testing::replace_once(testing::sample_config(), "version = 7", "version = 8");
+  config = testing::replace_once(config, "name = \"explain\"", "name = \"other\"");
+  router_on_document(core, wire::document_configuration, config, "test", state.now, after);
+  // What waits is refused at once, truly not run; what runs goes on.
+  REQUIRE(after.decisions.size() == 1);
+  CHECK(after.decisions[0].request == waiting.id);
+  CHECK(after.decisions[0].how == outcome::not_run);
+  CHECK(after.decisions[0].why == refusal::unknown_profile);
+  target_result lost;
+  lost.result = wire::finish_lost;
+  lost.why = refusal::target_lost;
+  router_on_target_done(core, running, lost, state.now, after);
+  REQUIRE(after.decisions.size() == 2);
+  CHECK(after.decisions[1].request == running);
+  CHECK(after.decisions[1].how == outcome::unknown);
+  CHECK(core.entry.requests.empty());
+}
+
 TEST_CASE("each bound of a message is checked at its edge") {
   const router_identity peer{router_address{"127.0.0.1:7402"}, 1};
   const router_address self{"127.0.0.1:7401"};
