Walk held targets and silent peers only, in a router's tick

Cause: each tick compared every published target with every shard held, built two maps of all running peers and a status for heartbeats that were not due. Ruled out: a cache keyed by the membership's generation, since a tick alone ends peers, and only those silent for suspect_after. Left: lookup of the next poll of each held target, which is what remains at 400 targets held by one router. Change: load polls walk the scheduler's rows of the shards held; only silent peers are looked at after the tick; the status is made when a heartbeat is due.

--- a/core/router_tick.cc
+++ b/core/router_tick.cc
@@ -64,40 +64,50 @@
   return owners;
 }
 
+// Walks the targets of the shards held, as the scheduler keeps them, so that the
+// cost of a tick does not follow the size of the configuration.
 void poll_owned_targets(router_core& core, instant now, effects& todo) {
   for (const shard_key& shard : core.own_shards) {
-    for (const target_config& target : core.config->targets) {
-      if (target.pool != shard.pool ||
-          shard_of(target.pool, target.name, core.config->fleet.shards_per_pool) != shard) {
+    const std::map<shard_key, shard_row>::const_iterator row = core.scheduler.shards.find(shard);
+    if (row == core.scheduler.shards.end()) {
+      continue;
+    }
+    for (const std::pair<const target_name, target_row>& entry : row->second.targets) {
+      if (!entry.second.configured) {
         continue;
       }
-      instant& due = core.next_load_poll[target.name];
+      instant& due = core.next_load_poll[entry.first];
       if (now >= due) {
         due = now + core.options.load_poll;
-        todo.load_polls.push_back(target);
+        todo.load_polls.push_back(entry.second.settings);
       }
     }
   }
 }
 
-std::map<router_address, router_identity> running_peers(const router_core& core) {
-  std::map<router_address, router_identity> running;
+bool is_running(const member& peer) {
+  return peer.state == member_state::alive || peer.state == member_state::leaving;
+}
+
+// Running peers that have been silent for so long that a tick may end them. Few
+// or none in most ticks, so nothing is copied for the others.
+std::vector<router_address> silent_peers(const router_core& core, instant now) {
+  std::vector<router_address> silent;
   for (const std::pair<const router_address, member>& entry : core.members.members) {
-    const member_state state = entry.second.state;
-    if (state == member_state::alive || state == member_state::leaving) {
-      running.emplace(entry.first, entry.second.identity);
+    if (is_running(entry.second) && now >= entry.second.last_heard + fleet_of(core).suspect_after) {
+      silent.push_back(entry.first);
     }
   }
-  return running;
+  return silent;
 }
 
-void note_membership_changes(router_core& core,
-                             const std::map<router_address, router_identity>& before, instant now) {
-  const std::map<router_address, router_identity> after = running_peers(core);
-  for (const std::pair<const router_address, router_identity>& entry : before) {
-    if (!after.contains(entry.first)) {
-      note(core, {.kind = event_kind::peer_gone, .peer = entry.first.value}, now);
-      on_peer_gone(core.scheduler, entry.first, now);
+void note_gone_peers(router_core& core, const std::vector<router_address>& silent, instant now) {
+  for (const router_address& address : silent) {
+    const std::map<router_address, member>::const_iterator peer =
+        core.members.members.find(address);
+    if (peer == core.members.members.end() || !is_running(peer->second)) {
+      note(core, {.kind = event_kind::peer_gone, .peer = address.value}, now);
+      on_peer_gone(core.scheduler, address, now);
     }
   }
 }
@@ -157,10 +167,11 @@
 }
 
 void router_tick(router_core& core, instant now, effects& todo) {
-  const std::map<router_address, router_identity> before = running_peers(core);
-  membership_tick(core.members, fleet_of(core), core.list.get(), make_local_status(core, now), now,
-                  todo.messages);
-  note_membership_changes(core, before, now);
+  const std::vector<router_address> silent = silent_peers(core, now);
+  const bool heartbeat_due = now >= core.members.next_heartbeat;
+  const local_status local = heartbeat_due ? make_local_status(core, now) : local_status{};
+  membership_tick(core.members, fleet_of(core), core.list.get(), local, now, todo.messages);
+  note_gone_peers(core, silent, now);
   expire_keys(core.keys, now);
   ask_for_newer_documents(core, now, todo);
   if (core.config == nullptr) {
--- a/experiment/capacity_documents.cc
+++ b/experiment/capacity_documents.cc
@@ -35,8 +35,8 @@
   out << "version = 1\n";
   for (std::uint32_t index = 0; index < options.routers; ++index) {
     out << "[[router]]\naddress = \"127.0.0.1:" << 7'000 + index
-        << "\"\nhttp_address = \"127.0.0.1:" << 18'000 + index
-        << "\"\nfailure_domain = \"domain-" << index % options.domains << "\"\nstate = \"live\"\n";
+        << "\"\nhttp_address = \"127.0.0.1:" << 18'000 + index << "\"\nfailure_domain = \"domain-"
+        << index % options.domains << "\"\nstate = \"live\"\n";
   }
   return out.str();
 }
--- a/experiment/capacity_fleet.h
+++ b/experiment/capacity_fleet.h
@@ -40,8 +40,8 @@
 // Calls of one kind, over all routers.
 struct call_cost {
   std::uint64_t count = 0;
-  std::uint64_t bytes = 0;   // of messages, as sent, with the transport's headers
-  double cpu_seconds = 0;    // in the receiving or calling core
+  std::uint64_t bytes = 0;  // of messages, as sent, with the transport's headers
+  double cpu_seconds = 0;   // in the receiving or calling core
 };
 
 inline constexpr std::size_t message_kinds = 9;
@@ -54,15 +54,15 @@
   std::uint32_t routers = 0;
   std::array<call_cost, message_kinds> messages;
   call_cost ticks;
-  call_cost requests;              // submitted, and ended at a target
-  call_cost load_polls;            // load reports taken in
+  call_cost requests;                   // submitted, and ended at a target
+  call_cost load_polls;                 // load reports taken in
   double service_calls_per_second = 0;  // to the platform's service, whole fleet
-  std::size_t state_bytes = 0;     // a router, mean, with its documents
-  std::size_t document_bytes = 0;  // of the configuration
-  std::uint32_t held_shards = 0;   // at the end, whole fleet
-  std::uint32_t unready = 0;       // routers that is_ready() denies at the end
-  std::uint32_t watching = 0;      // routers that watch the service at the end
-  duration spread{};               // of one change, until the last router has it
+  std::size_t state_bytes = 0;          // a router, mean, with its documents
+  std::size_t document_bytes = 0;       // of the configuration
+  std::uint32_t held_shards = 0;        // at the end, whole fleet
+  std::uint32_t unready = 0;            // routers that is_ready() denies at the end
+  std::uint32_t watching = 0;           // routers that watch the service at the end
+  duration spread{};                    // of one change, until the last router has it
 };
 
 capacity_report measure_capacity(const capacity_options& options);
