Tell refunds in totals, and bound the fairness gap by service

Cause: the bound of 4 (R T + 4 M C) / w was 234000 for 72 slots and C = 200. It counted a call in flight as unheard at two times and as unsettled besides, let the start of an organisation differ by a whole lead, and counted a hidden refund for each slot. Ruled out: another reserved lead (no slot is reserved in that fleet) and a shorter exchange (R T is 2700 of 89100). Estimates wrong by a whole C in every slot are what is left; charges that follow the produced units would narrow that. Change: totals carry what was charged and what was taken back, as two counters that only grow; the bound follows service, each slot once, and takes the lowest tag as what two owners can disagree on: 3 (R T + 2 M C) / w.

--- a/core/fairness_bound.cc
+++ b/core/fairness_bound.cc
@@ -5,19 +5,19 @@
 namespace peridot {
 
 double fairness_gap_bound(const gap_inputs& inputs) {
-  // Calls in flight may yet be corrected by up to their whole cost.
+  // Calls in flight, each of which may yet be corrected by up to its whole cost.
   const double in_flight = inputs.slots * inputs.cost_ceiling / inputs.lowest_weight;
   if (inputs.owners <= 1) {
     return 2 * (in_flight + inputs.reserved_lead);
   }
-  // Charges of other owners that this one has not heard of: what the pool serves
-  // in one exchange, what is in flight at its two ends, and refunds that totals hide.
   const double seconds = std::chrono::duration<double>(inputs.exchange).count();
   const double served = inputs.service_rate * seconds / inputs.lowest_weight;
-  const double unheard = served + 3 * in_flight;
-  // Either organisation may lead, and owners may disagree by as much on where
-  // the two stood when the later one became backlogged.
-  return 4 * (in_flight + inputs.reserved_lead + unheard);
+  // A slot may hold one call whose estimate was wrong when others heard of it,
+  // then one that they have not heard of.
+  const double lead = served + 2 * in_flight;
+  // Owners may disagree by as much on where a newly backlogged organisation
+  // started: the lowest tag, as two of them see it.
+  return 2 * (lead + inputs.reserved_lead) + lead;
 }
 
 }  // namespace peridot
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -195,7 +195,7 @@
   double tag = 0;      // charged service / weight, over all owners heard
   double weight = 1;   // as published
   double charged = 0;  // by this router, grows only; what totals carry
-  double refunds = 0;  // corrections below the estimate that `charged` still contains
+  double refunds = 0;  // of that, taken back by corrections; grows only, in totals too
   double told = 0;     // of `charged`, already sent
   instant opened{};
   instant last_active{};        // last demand or charge
@@ -216,6 +216,7 @@
 struct heard_account {
   std::uint64_t opened_us = 0;  // sender's clock
   double total = 0;
+  double refunded = 0;
   instant changed{};
 };
 
--- a/core/scheduler_accounts.cc
+++ b/core/scheduler_accounts.cc
@@ -8,7 +8,7 @@
 //   - an organisation is in `plain` iff it has a call that may share a target, in
 //     `interactive` iff one of these is interactive, in `solo` iff one must run alone;
 //   - its index key is its present tag (or its oldest arrival, for first_come);
-//   - `charged` never shrinks; charged - refunds is what was charged in truth.
+//   - `charged` never shrinks; nor does `refunds`; their difference is what was charged in truth.
 #include <algorithm>
 #include <cmath>
 
@@ -277,12 +277,10 @@
   if (units < 0) {
     row.refunds -= units;
   } else {
-    const double covered = std::min(units, row.refunds);
-    row.refunds -= covered;
-    row.charged += units - covered;
-    PERIDOT_CHECK(row.charged >= row.told, "a service total has shrunk");
-    pool.untold.insert(name);
+    row.charged += units;
   }
+  PERIDOT_CHECK(row.charged >= row.told, "a service total has shrunk");
+  pool.untold.insert(name);
   reindex(table, pool, name, row);
 }
 
--- a/core/scheduler_totals.cc
+++ b/core/scheduler_totals.cc
@@ -1,7 +1,8 @@
 // Exchange of service totals between the owners of a pool.
 //
-// Each owner tells the others what it has charged, per organisation, as counters
-// that only grow; a receiver adds the growth to its own tags. So a message that
+// Each owner tells the others what it has charged and what it has taken back, per
+// organisation, as two counters that only grow; a receiver adds the growth of the
+// first to its own tags and takes off that of the second. So a message that
 // is lost, doubled or late changes nothing that the next one does not mend.
 //
 // Counters start at zero when their account is opened. A receiver that has
@@ -28,6 +29,7 @@
   wire::organisation_total& total = *message.add_totals();
   total.set_organisation(name.value);
   total.set_total(row.charged);
+  total.set_refunded(row.refunds);
   total.set_opened_us(to_wire(row.opened));
 }
 
@@ -96,25 +98,41 @@
   return row;
 }
 
-// Units that the sender charged and that were not heard of before.
-double growth(heard_owner& owner, const wire::organisation_total& total, instant now) {
+// Units that the sender charged and took back, and that were not heard of before.
+struct heard_growth {
+  double charged = 0;
+  double refunded = 0;
+};
+
+// Raises a counter to what was told; returns by how much. A late or bad value
+// raises nothing.
+double raise(double& heard, double told) {
+  const double grown = told - heard;
+  if (!std::isfinite(grown) || grown <= 0) {
+    return 0;
+  }
+  heard = told;
+  return grown;
+}
+
+heard_growth growth(heard_owner& owner, const wire::organisation_total& total, instant now) {
   const auto inserted = owner.accounts.try_emplace(organisation_name{total.organisation()});
   heard_account& heard = inserted.first->second;
   if (!inserted.second && total.opened_us() < heard.opened_us) {
-    return 0;  // late, of an account that was opened anew since
+    return {};  // late, of an account that was opened anew since
   }
   if (inserted.second || total.opened_us() > heard.opened_us) {
     const bool whole = total.opened_us() >= owner.counts_from_us;
     heard.opened_us = total.opened_us();
     heard.total = whole ? 0 : total.total();
+    heard.refunded = whole ? 0 : total.refunded();
     heard.changed = now;
   }
-  const double grown = total.total() - heard.total;
-  if (!std::isfinite(grown) || grown <= 0) {
-    return 0;
+  const heard_growth grown{raise(heard.total, total.total()),
+                           raise(heard.refunded, total.refunded())};
+  if (grown.charged + grown.refunded > 0) {
+    heard.changed = now;
   }
-  heard.total = total.total();
-  heard.changed = now;
   return grown;
 }
 
@@ -133,12 +151,14 @@
     if (!table.weights.contains(name)) {
       continue;
     }
-    const double units = growth(owner, total, table.latest);
-    if (units > 0) {
+    const heard_growth grown = growth(owner, total, table.latest);
+    if (grown.charged + grown.refunded > 0) {
       account& row = scheduling::open_account(table, pool->second, name);
-      // It was served elsewhere, so its tag was the lowest there.
-      pool->second.virtual_time = std::max(pool->second.virtual_time, row.tag);
-      row.tag += units / row.weight;
+      if (grown.charged > 0) {
+        // It was served elsewhere, so its tag was the lowest there.
+        pool->second.virtual_time = std::max(pool->second.virtual_time, row.tag);
+      }
+      row.tag += (grown.charged - grown.refunded) / row.weight;
       row.last_active = table.latest;
       scheduling::reindex(table, pool->second, name, row);
     }
