Replay recorded traces against their stated outcomes

Cause: the users ask for proof by replay of recorded traces; there were seeded runs only. Weighed: events as operator steps of a scenario were ruled out, since these cannot name a call and its answers. The driver calls a trace at the start and at the end of a run, keeps what became of calls that a trace names, and counts a run of such a call also after its answer (it threw there before).

--- a/experiment/fleet.cc
+++ b/experiment/fleet.cc
@@ -111,9 +111,15 @@
     const std::string text = step.second;
     schedule_in(fleet.queue, step.first, [&fleet, text]() { operator_step(fleet, text); });
   }
+  if (options.on_start) {
+    options.on_start(fleet);
+  }
   const instant end = fleet.began + options.length;
   while (run_next(fleet.queue, end)) {
   }
+  if (options.on_end) {
+    options.on_end(fleet);
+  }
   check_settled(fleet);
   fleet.report.gap = largest_gap(fleet);
   fleet.report.gap_bound = bound_of(options);
--- a/experiment/fleet.h
+++ b/experiment/fleet.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -24,6 +25,8 @@
 
 namespace peridot::experiment {
 
+struct fleet_state;  // experiment/fleet_state.h
+
 // What goes wrong, as mean times between faults of a kind; zero: never.
 struct fault_plan {
   double loss = 0;                 // of peer messages
@@ -73,6 +76,8 @@
   fault_plan faults;
   std::vector<caller_group> callers;
   std::vector<std::pair<duration, std::string>> operator_steps;  // "out domain-a", "back domain-a"
+  std::function<void(fleet_state&)> on_start;      // schedules the events of a trace; may be empty
+  std::function<void(const fleet_state&)> on_end;  // looks at the state; may be empty
   // Switches a mechanism off from the outside, to show that a check can fail.
   bool forget_voter_start = false;         // restarted voters do not abstain
   bool repeat_without_issuer = false;      // a repeat of a key starts at whichever router gets it
--- a/experiment/fleet_callers.cc
+++ b/experiment/fleet_callers.cc
@@ -207,6 +207,10 @@
   }
   const caller_group& group = fleet.options.callers[call.group];
   const std::size_t group_index = call.group;
+  std::map<std::uint64_t, watched_call>::iterator watched = fleet.watched.find(id);
+  if (watched != fleet.watched.end()) {
+    watched->second = {call, what, watched->second.answers + 1};
+  }
   close_connections(fleet, id);
   fleet.calls.erase(id);
   if (group.backlog > 0 && is_sending(fleet, group)) {
--- a/experiment/fleet_checks.cc
+++ b/experiment/fleet_checks.cc
@@ -11,16 +11,6 @@
 constexpr std::size_t max_violations = 20;
 constexpr duration sample_every = std::chrono::milliseconds{100};
 
-bool holds_now(const fleet_state& fleet, const driven_router& router, const shard_key& shard) {
-  if (router.core == nullptr || router.core->config == nullptr) {
-    return false;
-  }
-  const router_core& core = *router.core;
-  const lease_context context{core.members, core.list.get(), core.config->fleet,
-                              core.config->version, core.stopping};
-  return holds(core.claims, context, shard, local_time(router, fleet.queue.now));
-}
-
 std::set<organisation_name> backlogged_organisations(const fleet_state& fleet) {
   std::set<organisation_name> backlogged;
   for (const driven_router& router : fleet.routers) {
@@ -63,6 +53,16 @@
 
 }  // namespace
 
+bool holds_now(const fleet_state& fleet, const driven_router& router, const shard_key& shard) {
+  if (router.core == nullptr || router.core->config == nullptr) {
+    return false;
+  }
+  const router_core& core = *router.core;
+  const lease_context context{core.members, core.list.get(), core.config->fleet,
+                              core.config->version, core.stopping};
+  return holds(core.claims, context, shard, local_time(router, fleet.queue.now));
+}
+
 void violated(fleet_state& fleet, const std::string& what) {
   const std::chrono::milliseconds at =
       std::chrono::duration_cast<std::chrono::milliseconds>(fleet.queue.now - fleet.began);
--- a/experiment/fleet_state.h
+++ b/experiment/fleet_state.h
@@ -57,6 +57,13 @@
   std::uint64_t runs = 0;  // arrivals at targets
 };
 
+// A call that a trace names, and its answers so far.
+struct watched_call {
+  caller_call last;  // as it was when it ended
+  std::string outcome;
+  std::uint32_t answers = 0;
+};
+
 struct fake_platform {
   std::string config_text;
   std::uint64_t config_version = 1;
@@ -82,6 +89,7 @@
   fake_platform platform;
   std::map<std::uint64_t, caller_call> calls;
   std::vector<std::uint64_t> backlog_of_group;
+  std::map<std::uint64_t, watched_call> watched;
   std::uint64_t next_call = 1;
   std::uint64_t next_run = 1;
   instant cut_until{};
@@ -133,6 +141,7 @@
 
 // fleet_checks.cc
 void violated(fleet_state& fleet, const std::string& what);
+bool holds_now(const fleet_state& fleet, const driven_router& router, const shard_key& shard);
 void check_holders(fleet_state& fleet);
 void check_versions(fleet_state& fleet, driven_router& router);
 void check_settled(fleet_state& fleet);
--- a/experiment/fleet_targets.cc
+++ b/experiment/fleet_targets.cc
@@ -26,6 +26,14 @@
   return same ? &found->second : nullptr;
 }
 
+// The call of an attempt. A call that a trace names is still known after its
+// answer, so that a further run of it is noticed.
+caller_call& call_of(fleet_state& fleet, std::uint64_t id) {
+  std::map<std::uint64_t, watched_call>::iterator watched = fleet.watched.find(id);
+  const bool answered = watched != fleet.watched.end() && !fleet.calls.contains(id);
+  return answered ? watched->second.last : fleet.calls.at(id);
+}
+
 void report_end(fleet_state& fleet, const run_route& route, const target_result& result) {
   schedule_in(fleet.queue, fleet.options.one_way, [&fleet, route, result]() {
     on_router(fleet, route.router, route.generation,
@@ -96,7 +104,7 @@
       return;
     }
     tried->answer_begun = true;
-    caller_call& call = fleet.calls.at(tried->call);
+    caller_call& call = call_of(fleet, tried->call);
     if (!call.first_unit) {
       call.first_unit = fleet.queue.now;
       if (fleet.options.callers[call.group].backlog == 0) {
@@ -118,7 +126,7 @@
     return;  // the router ended while the call was on its way: a closed connection
   }
   ++tried->reached;
-  caller_call& call = fleet.calls.at(tried->call);
+  caller_call& call = call_of(fleet, tried->call);
   check_arrival(fleet, target, call);
   target.last_work = fleet.queue.now;
   if (target.running.size() >= bears(target)) {
--- a/tools/fleet_experiment_main.cc
+++ b/tools/fleet_experiment_main.cc
@@ -9,12 +9,16 @@
 #include <string>
 #include <vector>
 
+#include "core/document_file.h"
 #include "experiment/report.h"
 #include "experiment/scenarios.h"
+#include "experiment/trace.h"
 
 ABSL_FLAG(std::string, mode, "seeds",
           "seeds: random faults over many small fleets, invariants checked. "
-          "measure: named scenarios, the product beside its baselines.");
+          "measure: named scenarios, the product beside its baselines. "
+          "replay: a recorded trace against its stated outcomes.");
+ABSL_FLAG(std::string, trace, "", "File of the trace (mode replay); see docs/TRACES.md.");
 ABSL_FLAG(std::uint64_t, first_seed, 1, "First seed.");
 ABSL_FLAG(std::uint64_t, seeds, 100, "Number of seeds (1 to 1000000).");
 ABSL_FLAG(std::string, scenario, "", "Only this scenario (mode measure).");
@@ -69,14 +73,41 @@
   return 0;
 }
 
+int replay_trace(const std::string& path) {
+  const peridot::file_result file = peridot::read_document_file(path);
+  if (!file.errors.empty()) {
+    std::fprintf(stderr, "fleet_experiment: --trace=%s cannot be read\n", path.c_str());
+    return exit_usage;
+  }
+  const peridot::experiment::parsed_trace parsed = peridot::experiment::parse_trace(file.text);
+  for (const peridot::experiment::trace_error& error : parsed.errors) {
+    std::fprintf(stderr, "%s:%zu: %s\n", path.c_str(), error.line, error.what.c_str());
+  }
+  if (!parsed.errors.empty()) {
+    return exit_usage;
+  }
+  const peridot::experiment::replay_result result = peridot::experiment::replay(parsed.what);
+  for (const peridot::experiment::found_outcome& found : result.found) {
+    std::printf("found %s=%s\n", found.key.c_str(), found.value.c_str());
+  }
+  for (const std::string& missed : result.missed) {
+    std::printf("missed: %s\n", missed.c_str());
+  }
+  std::printf("%s: %zu outcomes stated, %zu missed\n", path.c_str(), parsed.what.stated.size(),
+              result.missed.size());
+  return result.missed.empty() ? 0 : exit_violation;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
       "Runs fleets under virtual time.\n\n"
       "  fleet_experiment --mode=seeds --first_seed=1 --seeds=100\n"
-      "  fleet_experiment --mode=measure --report=report.md\n\n"
-      "Exit status: 0, 1 if an invariant was violated, 2 for a bad flag.");
+      "  fleet_experiment --mode=measure --report=report.md\n"
+      "  fleet_experiment --mode=replay --trace=traces/flood.txt\n\n"
+      "Exit status: 0, 1 if an invariant was violated or a stated outcome was missed, "
+      "2 for a bad flag or file.");
   absl::FlagsUsageConfig usage;
   usage.version_string = []() { return std::string("fleet_experiment 0.1.0\n"); };
   absl::SetFlagsUsageConfig(usage);
@@ -94,6 +125,9 @@
   if (mode == "measure") {
     return run_measurements(first, absl::GetFlag(FLAGS_scenario), absl::GetFlag(FLAGS_report));
   }
-  std::fprintf(stderr, "fleet_experiment: --mode must be seeds or measure\n");
+  if (mode == "replay") {
+    return replay_trace(absl::GetFlag(FLAGS_trace));
+  }
+  std::fprintf(stderr, "fleet_experiment: --mode must be seeds, measure or replay\n");
   return exit_usage;
 }
