Let entry routers name the grants that they use

Ruled out: foreign calls and recounts in progress (all 0 at the end). Change: a running report each second from every entry router to every owner; slots of grants that are void and not named are freed, those that are named are kept.

--- a/core/entry.h
+++ b/core/entry.h
@@ -225,6 +225,7 @@
   suspect_table suspects;
   std::map<pool_name, pool_demand> demands;  // pools with something queued, or with owners to tell
   std::optional<instant> first_demand;       // sent by this table
+  instant next_running_report{};
 };
 
 struct entry_context {
@@ -297,6 +298,12 @@
 std::vector<decision> entry_tick(entry_table& table, const entry_context& context, instant now,
                                  outbox& out);
 
+// Names the grants in use to each known owner, every `running_report_interval`, so
+// that a finish that was lost keeps no slot for long. Called by entry_tick.
+inline constexpr std::chrono::milliseconds running_report_interval{1'000};
+void send_running_reports(entry_table& table, const entry_context& context, instant now,
+                          outbox& out);
+
 // Sends demands for pools that changed. Called after each batch of submits, so
 // that a request need not wait for the tick; at most one demand per pool, owner
 // and `demand_spacing`.
--- a/core/entry_demand.cc
+++ b/core/entry_demand.cc
@@ -150,6 +150,7 @@
 
 std::vector<decision> entry_tick(entry_table& table, const entry_context& context, instant now,
                                  outbox& out) {
+  send_running_reports(table, context, now, out);
   std::vector<decision> decisions;
   refuse_expired(table, now, decisions);
   forget_old_grants(table.grants, now);
--- a/core/message_checks.cc
+++ b/core/message_checks.cc
@@ -140,6 +140,12 @@
   return std::nullopt;
 }
 
+problem running_report_problem(const wire::running_report& message) {
+  const bool good =
+      is_time(message.sent_at_us()) && message.grant_ids_size() <= max_message_entries;
+  return good ? problem() : problem("running report");
+}
+
 problem totals_problem(const wire::service_totals& message) {
   if (!is_name(message.pool()) || !is_time(message.sent_at_us())) {
     return "totals head";
@@ -179,6 +185,8 @@
       return grant_problem(message.grant());
     case wire::peer_message::kFinish:
       return finish_problem(message.finish());
+    case wire::peer_message::kRunningReport:
+      return running_report_problem(message.running_report());
     case wire::peer_message::kServiceTotals:
       return totals_problem(message.service_totals());
     case wire::peer_message::kDocumentRequest:
--- a/core/router_messages.cc
+++ b/core/router_messages.cc
@@ -78,6 +78,8 @@
     on_demand(core.scheduler, from, message.demand(), now, context);
   } else if (message.has_finish()) {
     on_finish(core.scheduler, from, message.finish(), now, context);
+  } else if (message.has_running_report()) {
+    on_running_report(core.scheduler, from, message.running_report(), now, context);
   } else {
     on_service_totals(core.scheduler, from, message.service_totals(), context);
     return;
@@ -119,6 +121,7 @@
       return;
     case wire::peer_message::kDemand:
     case wire::peer_message::kFinish:
+    case wire::peer_message::kRunningReport:
     case wire::peer_message::kServiceTotals:
       handle_scheduling(core, from, message, now, todo);
       return;
--- a/core/scheduler.h
+++ b/core/scheduler.h
@@ -87,8 +87,10 @@
   bool solo = false;
   service_units estimated = 0;  // as charged
   instant granted_at{};
-  instant use_before{};     // an unused grant is void from here on
-  bool entry_gone = false;  // no finish will come; load reports must show its end
+  instant use_before{};          // an unused grant is void from here on
+  std::uint64_t void_at_us = 0;  // the same on the entry router's clock
+  instant last_named{};          // by a running report
+  bool entry_gone = false;       // no finish will come; load reports must show its end
 };
 
 // A load report that waits until the ends of calls that it no longer counts must
@@ -118,7 +120,8 @@
   instant cold_until{};                 // reports sampled before this do not warm it
   instant blocked_until{};              // after a failed connection
   std::uint32_t refusals = 0;           // in a row
-  instant last_report{};
+  instant last_report{};                // time of the newest sample
+  instant last_arrival{};               // when that report came
   std::optional<unsettled_report> unsettled;
   std::uint32_t settled = 0;         // reports of the present window that were applied
   std::uint32_t most_beyond = 0;     // calls beyond own ones, over the window
@@ -326,6 +329,13 @@
                instant now, const scheduler_context& context);
 void on_finish(scheduler_table& table, const router_identity& from, const wire::finish& message,
                instant now, const scheduler_context& context);
+// Settles what finishes that were lost left open: frees the slots of grants that the
+// entry router does not use, and counts those again that it does use and that were
+// taken to have ended. Exact, since the report and the time from which a grant is
+// void are both on the entry router's clock. Charges stay at the estimate.
+void on_running_report(scheduler_table& table, const router_identity& from,
+                       const wire::running_report& message, instant now,
+                       const scheduler_context& context);
 void on_load_report(scheduler_table& table, const load_report& report, instant now,
                     const scheduler_context& context);
 void on_service_totals(scheduler_table& table, const router_identity& from,
--- a/core/scheduler_grants.cc
+++ b/core/scheduler_grants.cc
@@ -239,6 +239,8 @@
   grant.solo = solo;
   grant.granted_at = now;
   grant.use_before = demand.received_at + context.config.fleet.grant_validity;
+  const std::chrono::microseconds validity = context.config.fleet.grant_validity;
+  grant.void_at_us = demand.sent_at_us + static_cast<std::uint64_t>(validity.count());
   target.solo_running = solo;
   charge(table, pool, name, row, grant.estimated);
   update_backlog(table, pool, name, row, false);
--- a/core/scheduler_targets.cc
+++ b/core/scheduler_targets.cc
@@ -84,7 +84,8 @@
 }
 
 bool is_overdue(const outstanding_grant& grant, instant at) {
-  return grant.entry_gone || grant.use_before + reclaim_after <= at;
+  const instant last_sign = std::max(grant.use_before, grant.last_named);
+  return grant.entry_gone || last_sign + reclaim_after <= at;
 }
 
 void remember_reclaimed(target_row& target, const outstanding_grant& grant) {
--- a/core/testing/scheduler_test.cc
+++ b/core/testing/scheduler_test.cc
@@ -114,6 +114,16 @@
     message.set_boot_id(boot);
     on_finish(table, entry, message, now, context());
   }
+  // What `entry` uses, sent `later` on its clock after its newest demand.
+  void running_report(const std::vector<std::uint64_t>& ids, std::chrono::microseconds later,
+                      const router_identity& entry = entry_a) {
+    wire::running_report message;
+    message.set_sent_at_us(entry_clock + static_cast<std::uint64_t>(later.count()));
+    for (std::uint64_t id : ids) {
+      message.add_grant_ids(id);
+    }
+    on_running_report(table, entry, message, now, context());
+  }
   target_row& target(const std::string& name) {
     return table.shards.at(shard).targets.at(target_name{name});
   }
@@ -170,6 +180,36 @@
   }
 }
 
+TEST_CASE("an entry router names the grants that it uses") {
+  owner_fixture owner({"engine-1"});
+  owner.warm_up(1'000);
+  owner.demand(entry_a, {line("guides", 2)});
+  const std::vector<wire::grant> sent = owner.grants();
+  REQUIRE(sent.size() == 2);
+  const std::uint64_t kept = sent[0].grant_id();
+  const std::chrono::microseconds validity = owner.config.fleet.grant_validity;
+
+  SUBCASE("a grant that it does not name has ended, once it is void on its clock") {
+    owner.running_report({kept}, validity - std::chrono::microseconds{1});
+    CHECK(owner.target("engine-1").in_flight == 2);
+    owner.running_report({kept}, validity);
+    CHECK(owner.target("engine-1").in_flight == 1);
+  }
+
+  SUBCASE("another router, or another run of this one, ends nothing") {
+    owner.running_report({}, validity, router_identity{entry_a.address, 999});
+    CHECK(owner.target("engine-1").in_flight == 2);
+  }
+
+  SUBCASE("one that only slept gets the slots back that were taken to be free") {
+    on_peer_gone(owner.table, entry_a.address, owner.now);
+    CHECK(owner.target("engine-1").entry_gone == 2);
+    owner.running_report({kept, sent[1].grant_id()}, validity);
+    CHECK(owner.target("engine-1").entry_gone == 0);
+    CHECK(owner.target("engine-1").in_flight == 2);
+  }
+}
+
 TEST_CASE("a target gets what it bears") {
   owner_fixture owner({"engine-1"});
   owner.warm_up(0);
