--- a/core/entry_demand.cc
+++ b/core/entry_demand.cc
@@ -16,18 +16,6 @@
 namespace peridot {
 namespace {
 
-wire::traffic_class class_to_wire(traffic_class value) {
-  switch (value) {
-    case traffic_class::interactive:
-      return wire::class_interactive;
-    case traffic_class::standard:
-      return wire::class_standard;
-    case traffic_class::batch:
-      return wire::class_batch;
-  }
-  return wire::class_standard;
-}
-
 // First queue of the pool; the pool's queues are adjacent.
 std::map<queue_key, std::deque<std::uint64_t>>::const_iterator first_queue(const entry_table& table,
                                                                            const pool_name& pool) {
@@ -56,7 +44,7 @@
       const request_row& head = table.requests.at(queue->second.front());
       wire::demand_line* line = message.add_lines();
       line->set_organisation(queue->first.organisation.value);
-      line->set_traffic_class(class_to_wire(queue->first.priority));
+      line->set_traffic_class(to_wire(queue->first.priority));
       line->set_estimated_cost(head.estimated);
       line->set_profile(head.profile.value);
     }
--- a/core/entry_runs.cc
+++ b/core/entry_runs.cc
@@ -35,17 +35,6 @@
          value == wire::class_batch;
 }
 
-traffic_class class_from_wire(wire::traffic_class value) {
-  switch (value) {
-    case wire::class_interactive:
-      return traffic_class::interactive;
-    case wire::class_batch:
-      return traffic_class::batch;
-    default:
-      return traffic_class::standard;
-  }
-}
-
 // Ends the grant at its owner.
 void send_finish(const router_identity& owner, const wire::finish& message, outbox& out) {
   outgoing_message outgoing;
@@ -325,7 +314,7 @@
     return std::nullopt;
   }
   const queue_key key{pool_name{message.shard().pool()}, organisation_name{message.organisation()},
-                      class_from_wire(message.traffic_class()), message.solo()};
+                      from_wire(message.traffic_class()), message.solo()};
   request_row* row = first_startable(table, key, now);
   if (row == nullptr) {
     return_grant(from, message, out);
--- a/core/peer_messages.cc
+++ b/core/peer_messages.cc
@@ -28,6 +28,29 @@
   return id;
 }
 
+traffic_class from_wire(wire::traffic_class value) {
+  switch (value) {
+    case wire::class_interactive:
+      return traffic_class::interactive;
+    case wire::class_batch:
+      return traffic_class::batch;
+    default:
+      return traffic_class::standard;
+  }
+}
+
+wire::traffic_class to_wire(traffic_class value) {
+  switch (value) {
+    case traffic_class::interactive:
+      return wire::class_interactive;
+    case traffic_class::standard:
+      return wire::class_standard;
+    case traffic_class::batch:
+      return wire::class_batch;
+  }
+  return wire::class_standard;
+}
+
 std::uint64_t to_wire(instant time) {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count());
--- a/core/peer_messages.h
+++ b/core/peer_messages.h
@@ -38,6 +38,10 @@
 shard_key from_wire(const wire::shard_id& id);
 wire::shard_id to_wire(const shard_key& shard);
 
+// A class that this version does not know counts as standard.
+traffic_class from_wire(wire::traffic_class value);
+wire::traffic_class to_wire(traffic_class value);
+
 // Microseconds of this process's monotonic clock, as put into messages.
 std::uint64_t to_wire(instant time);
 instant from_wire(std::uint64_t microseconds);
--- a/core/published_config.h
+++ b/core/published_config.h
@@ -22,9 +22,6 @@
 
 namespace peridot {
 
-// Scheduling class. Interactive calls have slots of their own on each target.
-enum class traffic_class { interactive, standard, batch };
-
 // How one class of traffic is treated.
 struct profile_config {
   profile_name name;
--- a/core/scheduler_accounts.cc
+++ b/core/scheduler_accounts.cc
@@ -100,17 +100,6 @@
   set_line(table, row, calls.key.priority, entry, wanted);
 }
 
-traffic_class from_wire_class(wire::traffic_class value) {
-  switch (value) {
-    case wire::class_interactive:
-      return traffic_class::interactive;
-    case wire::class_batch:
-      return traffic_class::batch;
-    default:
-      return traffic_class::standard;
-  }
-}
-
 bool same_line(const line_key& a, const line_key& b) {
   return a.organisation == b.organisation && a.priority == b.priority;
 }
@@ -152,8 +141,7 @@
                                                          const wire::demand& message) {
   std::vector<std::pair<line_key, queued_line>> lines;
   for (const wire::demand_line& line : message.lines()) {
-    const line_key key{organisation_name{line.organisation()},
-                       from_wire_class(line.traffic_class())};
+    const line_key key{organisation_name{line.organisation()}, from_wire(line.traffic_class())};
     if (!table.weights.contains(key.organisation)) {
       continue;
     }
--- a/core/scheduler_grants.cc
+++ b/core/scheduler_grants.cc
@@ -106,7 +106,7 @@
   *message.mutable_shard() = to_wire(grant.shard);
   message.set_target(grant.target.value);
   message.set_organisation(grant.organisation.value);
-  message.set_traffic_class(static_cast<wire::traffic_class>(grant.priority));
+  message.set_traffic_class(to_wire(grant.priority));
   message.set_solo(grant.solo);
   message.set_demand_sent_at_us(demand.sent_at_us);
   const std::chrono::microseconds validity = context.config.fleet.grant_validity;
--- a/core/types.h
+++ b/core/types.h
@@ -50,6 +50,9 @@
   friend bool operator==(const router_identity&, const router_identity&) = default;
 };
 
+// Scheduling class. Interactive calls have slots of their own on each target.
+enum class traffic_class { interactive, standard, batch };
+
 // Service in token equivalents. What an organisation is charged in.
 using service_units = double;
 
