Send again to a peer when a signal interrupted the socket

Cause: the library reports EINTR when a signal interrupts it before it has looked at the queue; reading allowed for that, sending did not. Change: at most ten attempts for each message; other errors are logged and the message counts as not sent.

--- a/net/mesh.cc
+++ b/net/mesh.cc
@@ -16,6 +16,7 @@
 constexpr int reconnect_ms = 100;
 constexpr int reconnect_max_ms = 2'000;
 constexpr int connect_timeout_ms = 2'000;
+constexpr int max_send_attempts = 10;  // of one message, when signals interrupt
 constexpr int max_sockets = static_cast<int>(max_peers) + 16;  // the library's own limit is 1023
 constexpr std::size_t max_remembered_senders = 4 * max_peers;
 
@@ -50,6 +51,23 @@
   return &peers.peers.emplace(address, mesh_peer{std::move(socket)}).first->second;
 }
 
+// True if the socket took the message. A signal may interrupt the library before it
+// has looked at the queue; it is then asked again.
+bool try_send(zmq::socket_t& socket, const std::string& bytes) {
+  for (int attempt = 0; attempt < max_send_attempts; ++attempt) {
+    try {
+      return socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+    } catch (const zmq::error_t& error) {
+      if (error.num() != EINTR) {
+        log_line(log_part::mesh, log_level::warn,
+                 std::string("Message cannot be sent. step=send error=") + error.what());
+        return false;
+      }
+    }
+  }
+  return false;
+}
+
 // One part of a message; false if there is none now.
 bool receive_part(zmq::socket_t& socket, zmq::message_t& part) {
   try {
@@ -147,8 +165,7 @@
   complete.SerializeToString(sealed.mutable_payload());
   sealed.set_mac(make_mac(peers.options.fleet_key, sealed.payload()));
   const std::string bytes = sealed.SerializeAsString();
-  const zmq::send_result_t sent = peer->socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
-  if (!sent) {
+  if (!try_send(peer->socket, bytes)) {
     ++peers.counters.not_sent;
     return;
   }
--- a/net/testing/mesh_test.cc
+++ b/net/testing/mesh_test.cc
@@ -1,8 +1,10 @@
 #include "net/mesh.h"
 
 #include <doctest/doctest.h>
+#include <sys/time.h>
 
 #include <algorithm>
+#include <csignal>
 
 #include "core/mac.h"
 #include "net/testing/raw_peers.h"
@@ -161,6 +163,42 @@
                            [&]() { return !bench.handled.empty() && bench.handled.back() == 50; }));
 }
 
+// Calls for signals at a high rate while it lives.
+struct signal_storm {
+  struct sigaction before {};
+  signal_storm() {
+    struct sigaction quiet {};
+    quiet.sa_handler = [](int) {};
+    sigaction(SIGALRM, &quiet, &before);
+    set_interval(20);
+  }
+  ~signal_storm() {
+    set_interval(0);
+    sigaction(SIGALRM, &before, nullptr);
+  }
+  signal_storm(const signal_storm&) = delete;
+  signal_storm& operator=(const signal_storm&) = delete;
+  static void set_interval(suseconds_t microseconds) {
+    const itimerval timer{{0, microseconds}, {0, microseconds}};
+    setitimer(ITIMER_REAL, &timer, nullptr);
+  }
+};
+
+TEST_CASE("signals that interrupt the sockets end neither sending nor reading") {
+  mesh_bench bench;
+  start_bench(bench);
+  outgoing_message message;
+  message.to = bench.receiver->options.self.address;
+  message.message.mutable_document_request();
+  const signal_storm storm;
+  for (int turn = 0; turn < 20'000; ++turn) {
+    send_message(*bench.receiver, message, 1);
+    receive_messages(*bench.receiver);
+  }
+  CHECK(bench.receiver->counters.sent > 0);
+  CHECK(bench.receiver->counters.sent + bench.receiver->counters.not_sent == 20'000);
+}
+
 TEST_CASE("a long queue of messages is read without nesting, and in order") {
   mesh_bench bench;
   start_bench(bench);
