--- /dev/null
+++ b/core/admission.cc
@@ -0,0 +1,43 @@
+#include "core/admission.h"
+
+#include <algorithm>
+
+namespace peridot {
+namespace {
+
+duration scaled(duration time, double factor) {
+  return std::chrono::duration_cast<duration>(time * factor);
+}
+
+double late_factor(double position) {
+  if (position <= 0) {
+    return late_factor_calm;
+  }
+  if (position < 1) {
+    return late_factor_below;
+  }
+  return position < above_share ? late_factor_at : late_factor_above;
+}
+
+}  // namespace
+
+duration retry_after(duration expected, duration left, double jitter) {
+  const duration wanted = scaled(std::max<duration>(expected, least_retry_after), 1 + jitter);
+  return std::max(duration{0}, std::min(wanted, scaled(left, most_retry_part)));
+}
+
+admission admit(const admission_input& input) {
+  const duration first_token = input.waited + input.predicted;
+  const duration limit = std::min(scaled(input.aim, late_factor(input.share_position)),
+                                  scaled(input.left + input.waited, usable_part));
+  if (first_token <= limit) {
+    return {};
+  }
+  admission verdict;
+  verdict.admitted = false;
+  verdict.why = input.share_position >= 1 ? refusal::over_share : refusal::overloaded;
+  verdict.retry_after = retry_after(first_token - limit, input.left, input.jitter);
+  return verdict;
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/core/call.h
@@ -0,0 +1,58 @@
+// One call of a caller, in the project's words.
+//
+// Thread safety: plain values.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+
+namespace peridot {
+
+// A prompt up to and with one of its parts.
+struct prompt_prefix {
+  std::uint64_t hash = 0;  // of the model and all parts up to here
+  double tokens = 0;       // of all parts up to here
+};
+
+struct prompt {
+  std::string model;
+  double tokens_in = 0;
+  double tokens_out = 0;                // most that may be generated
+  std::vector<prompt_prefix> prefixes;  // shortest first; the last is the whole prompt
+};
+
+struct call_request {
+  std::string id;  // of this attempt, set by the caller
+  std::string host;
+  std::optional<milliseconds> wait;  // how long the caller waits
+  std::string key;                   // of the caller's organisation; empty: none was sent
+  std::optional<prompt> what_to_read;
+  std::optional<std::uint64_t> last_event;  // a stream is to go on after it
+};
+
+// Why a call was refused or failed without a target's answer. Stable: part of the
+// logs and metrics.
+enum class refusal {
+  none,
+  no_configuration,  // this router does not know any yet
+  unknown_route,
+  unknown_key,
+  bad_call,          // a header that cannot be understood
+  stopping,          // this router is shutting down
+  no_target,         // none of the pool is usable
+  overloaded,        // no target can begin it in time
+  over_share,        // its organisation has had its share
+  deadline,          // the caller's time or the route's is over
+  suspect,           // this request has crashed targets
+  retry_budget,      // it did not run, and the further sends are used up
+  target_lost,       // the connection to the target broke
+  target_malformed,  // what the target sent is no answer
+};
+
+const char* to_text(refusal value);
+
+}  // namespace peridot
--- /dev/null
+++ b/core/cold_gate.h
@@ -0,0 +1,43 @@
+// Bounds what cold targets get from all routers together, without agreement.
+//
+// Each router spaces its own sends to a cold target so that, if every router that
+// may exist did the same, any window of one second would hold no more than the
+// target bears. Where there are more routers than sends, only those ranked first
+// for the target by rendezvous send at all.
+//
+//   if (may_send_cold(gate, target, limit, routers, now)) { note_cold_send(...); send }
+//
+// Invariant: sends of one router in any second <= sends_per_second(limit, routers).
+// Thread safety: none; one loop.
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "core/types.h"
+
+namespace peridot {
+
+// Routers assumed to exist while fewer are known: a fleet that has just started
+// empty has heard of few.
+inline constexpr int least_routers_assumed = 12;
+inline constexpr double cold_safety = 0.8;  // part of the bound that is planned for
+
+struct cold_gate {
+  std::map<target_name, instant> last_send;
+};
+
+// Most sends of one router in one second; 0: rank decides.
+int sends_per_second(double fleet_limit, int routers);
+
+// The rank of `self` among the routers for this target, 0 first.
+int rank_for(const target_name& target, const router_address& self,
+             const std::vector<router_address>& others);
+
+// `fleet_limit`: sends a second that the target bears from all routers.
+bool may_send_cold(const cold_gate& gate, const target_name& target, double fleet_limit,
+                   const router_address& self, const std::vector<router_address>& others,
+                   instant now);
+void note_cold_send(cold_gate& gate, const target_name& target, instant now);
+
+}  // namespace peridot
--- /dev/null
+++ b/core/document_error.h
@@ -0,0 +1,25 @@
+// One thing wrong with a settings file or another document.
+//
+// Thread safety: plain values.
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace peridot {
+
+// Largest document that is read, in bytes. The platform's store holds no larger value.
+inline constexpr std::size_t max_document_bytes = 1 << 20;
+
+// `line` is 1-based, 0 if none applies.
+struct document_error {
+  std::string file;
+  std::size_t line = 0;
+  std::string key;  // dotted, e.g. "bounds.grace_ms"
+  std::string problem;
+};
+
+// "router.toml:12: bounds.grace_ms: must be from 1 to 65536".
+std::string to_text(const document_error& error);
+
+}  // namespace peridot
--- a/core/document_file.h
+++ b/core/document_file.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "core/config_checker.h"
+#include "core/document_error.h"
 
 namespace peridot {
 
--- a/core/document_reader.h
+++ b/core/document_reader.h
@@ -23,7 +23,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/config_checker.h"
+#include "core/document_error.h"
 #include "core/document_tree.h"
 #include "core/name_text.h"
 
--- a/core/document_tree.h
+++ b/core/document_tree.h
@@ -18,7 +18,7 @@
 #include <string_view>
 #include <vector>
 
-#include "core/config_checker.h"
+#include "core/document_error.h"
 
 namespace peridot {
 
--- /dev/null
+++ b/core/fair_share.cc
@@ -0,0 +1,121 @@
+#include "core/fair_share.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "core/peer_messages.h"
+
+namespace peridot {
+namespace {
+
+std::int64_t bucket_at(instant now) {
+  return std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) / share_bucket;
+}
+
+void clear_bucket(token_window& window, std::size_t index) {
+  window.asked_sum -= window.asked[index];
+  window.served_sum -= window.served[index];
+  window.asked[index] = 0;
+  window.served[index] = 0;
+}
+
+// Forgets the buckets that have left the window.
+void advance(share_table& table, instant now) {
+  const std::int64_t bucket = bucket_at(now);
+  const std::int64_t steps =
+      std::min<std::int64_t>(bucket - table.bucket, static_cast<std::int64_t>(share_buckets));
+  for (std::int64_t step = 0; step < steps; ++step) {
+    const std::size_t index = static_cast<std::size_t>(bucket - step) % share_buckets;
+    for (std::pair<const organisation_name, token_window>& entry : table.own) {
+      clear_bucket(entry.second, index);
+    }
+  }
+  table.bucket = std::max(table.bucket, bucket);
+}
+
+token_window& window_of(share_table& table, const organisation_name& who) {
+  auto found = table.own.find(who);
+  if (found != table.own.end()) {
+    return found->second;
+  }
+  table.by_hash[stable_hash(who.value)] = who;
+  return table.own[who];
+}
+
+}  // namespace
+
+void note_asked(share_table& table, const organisation_name& who, double tokens, instant now) {
+  advance(table, now);
+  token_window& window = window_of(table, who);
+  window.asked[static_cast<std::size_t>(table.bucket) % share_buckets] += tokens;
+  window.asked_sum += tokens;
+}
+
+void note_served(share_table& table, const organisation_name& who, double tokens, instant now) {
+  advance(table, now);
+  token_window& window = window_of(table, who);
+  window.served[static_cast<std::size_t>(table.bucket) % share_buckets] += tokens;
+  window.served_sum += tokens;
+}
+
+void set_peer_tokens(share_table& table, const router_address& peer,
+                     std::map<std::uint64_t, peer_tokens> tokens, instant now) {
+  table.peers[peer] = {now, std::move(tokens)};
+}
+
+void update_level(share_table& table, double capacity, instant now) {
+  advance(table, now);
+  std::erase_if(table.own, [](const std::pair<const organisation_name, token_window>& entry) {
+    return entry.second.asked_sum < 0.5 && entry.second.served_sum < 0.5;
+  });
+  std::erase_if(table.peers,
+                [now](const auto& entry) { return now - entry.second.first > peer_news_life; });
+  table.totals.clear();
+  for (const std::pair<const organisation_name, token_window>& entry : table.own) {
+    peer_tokens& total = table.totals[stable_hash(entry.first.value)];
+    total.asked += entry.second.asked_sum;
+    total.served += entry.second.served_sum;
+  }
+  for (const auto& peer : table.peers) {
+    for (const std::pair<const std::uint64_t, peer_tokens>& entry : peer.second.second) {
+      peer_tokens& total = table.totals[entry.first];
+      total.asked += entry.second.asked;
+      total.served += entry.second.served;
+    }
+  }
+  std::vector<double> asked;
+  for (const std::pair<const std::uint64_t, peer_tokens>& entry : table.totals) {
+    asked.push_back(entry.second.asked);
+  }
+  const double window_seconds = std::chrono::duration<double>(share_bucket * share_buckets).count();
+  const double level = capacity <= 0 ? std::numeric_limits<double>::infinity()
+                                     : max_min_level(std::move(asked), capacity * window_seconds);
+  table.level_per_window = level == std::numeric_limits<double>::infinity() ? 0 : level;
+}
+
+double share_position(const share_table& table, const organisation_name& who) {
+  if (table.level_per_window <= 0) {
+    return 0;
+  }
+  auto found = table.totals.find(stable_hash(who.value));
+  if (found == table.totals.end()) {
+    return 0;
+  }
+  const double share = std::min(found->second.asked, table.level_per_window);
+  return share <= 0 ? 0 : found->second.served / share;
+}
+
+double max_min_level(std::vector<double> asked, double capacity) {
+  std::sort(asked.begin(), asked.end());
+  double left = capacity;
+  for (std::size_t index = 0; index < asked.size(); ++index) {
+    const double even = left / static_cast<double>(asked.size() - index);
+    if (asked[index] > even) {
+      return even;
+    }
+    left -= asked[index];
+  }
+  return std::numeric_limits<double>::infinity();
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/core/placement.cc
@@ -0,0 +1,272 @@
+#include "core/placement.h"
+
+#include <algorithm>
+
+#include "core/check.h"
+#include "core/peer_messages.h"
+
+namespace peridot {
+namespace {
+
+constexpr double reread_weight = 0.7;          // reading again also delays the calls behind
+constexpr double first_meeting = 0.6;          // pull of the engine where a new subject should live
+constexpr double crowded_part = 0.85;          // of the slots; beyond, tokens come slowly
+constexpr double crowded_ms = 400;             // price of a place beyond that, up to all slots
+constexpr double full_ms = 5'000;              // no free slot: waits for a call to end
+constexpr double rate_memory = 0.08;           // weight of the newest measurement
+constexpr double least_sample_tokens = 2'500;  // shorter waits measure the base, not reading
+constexpr double least_rate = 3;
+constexpr double most_rate = 400;
+constexpr double service_memory = 0.1;
+constexpr double default_service_ms = 60;
+constexpr std::size_t max_prefixes = 20'000;  // remembered of one engine, about 0.6 MB
+constexpr std::size_t max_new_prefixes = 64;  // told in one gossip
+
+std::uint32_t short_hash(const prompt_prefix& prefix) {
+  return static_cast<std::uint32_t>(prefix.hash);
+}
+
+void remember_prefix(target_load& load, std::uint32_t prefix) {
+  if (load.prefix_used_at.size() >= max_prefixes) {
+    const double limit = load.tokens_read / 2;
+    std::erase_if(load.prefix_used_at, [limit](const std::pair<const std::uint32_t, double>& item) {
+      return item.second < limit;
+    });
+    if (load.prefix_used_at.size() >= max_prefixes) {
+      load.prefix_used_at.clear();
+    }
+  }
+  load.prefix_used_at[prefix] = load.tokens_read;
+}
+
+double engine_cost(const target_load& load, const candidate& where, const placement& choice,
+                   double rate, double unread, double memory_tokens) {
+  double cost = choice.first_token_ms + reread_weight * unread / rate;
+  const double slots = std::max(1, where.slots);
+  const double used = static_cast<double>(choice.running) / slots;
+  if (used >= 1) {
+    cost += full_ms;
+  } else if (used > crowded_part) {
+    cost += crowded_ms * (used - crowded_part) / (1 - crowded_part);
+  }
+  if (memory_tokens > 0 && load.memory > memory_tokens * kept_part) {
+    cost += crowded_ms;
+  }
+  return cost;
+}
+
+// Hash of the longest part of the prompt that other calls may share.
+std::uint64_t subject_of(const prompt& what) {
+  if (what.prefixes.empty()) {
+    return 0;
+  }
+  return what.prefixes.size() >= 2 ? what.prefixes[what.prefixes.size() - 2].hash
+                                   : what.prefixes.back().hash;
+}
+
+double shared_tokens(const prompt& what) {
+  return what.prefixes.size() >= 2 ? what.prefixes[what.prefixes.size() - 2].tokens : 0;
+}
+
+const target_load& load_of(const load_table& table, const target_name& name) {
+  static const target_load empty;
+  auto found = table.targets.find(name);
+  return found == table.targets.end() ? empty : found->second;
+}
+
+}  // namespace
+
+int running_at(const target_load& load, instant now) {
+  int sum = load.running;
+  for (const std::pair<const router_address, peer_load>& peer : load.peers) {
+    sum += now - peer.second.told_at <= peer_load_life ? peer.second.running : 0;
+  }
+  return sum;
+}
+
+double unread_at(const target_load& load, instant now) {
+  double sum = load.unread;
+  for (const std::pair<const router_address, peer_load>& peer : load.peers) {
+    sum += now - peer.second.told_at <= peer_load_life ? peer.second.unread : 0;
+  }
+  return sum;
+}
+
+double read_rate_of(const load_table& table, const target_load& load) {
+  if (load.read_rate > 0) {
+    return load.read_rate;
+  }
+  return table.pool_read_rate > 0 ? table.pool_read_rate : assumed_read_rate;
+}
+
+double kept_tokens(const target_load& load, const prompt& what, double memory_tokens) {
+  const double oldest = load.tokens_read - memory_tokens * kept_part;
+  double kept = 0;
+  for (const prompt_prefix& prefix : what.prefixes) {
+    auto found = load.prefix_used_at.find(short_hash(prefix));
+    if (found == load.prefix_used_at.end() || found->second < oldest) {
+      break;
+    }
+    kept = prefix.tokens;
+  }
+  return std::min(kept, what.tokens_in);
+}
+
+placement choose_engine(const load_table& table, const std::vector<candidate>& candidates,
+                        const prompt& what, double memory_tokens, instant now) {
+  placement best;
+  double best_cost = 0;
+  const std::uint64_t subject = subject_of(what);
+  const double shared = shared_tokens(what);
+  const candidate* home = nullptr;  // rendezvous: equal on all routers
+  std::uint64_t home_score = 0;
+  bool kept_somewhere = false;
+  for (const candidate& where : candidates) {
+    const std::uint64_t score = stable_hash(where.name.value, subject);
+    if (home == nullptr || score > home_score) {
+      home = &where;
+      home_score = score;
+    }
+    kept_somewhere =
+        kept_somewhere || kept_tokens(load_of(table, where.name), what, memory_tokens) >= shared;
+  }
+  for (const candidate& where : candidates) {
+    const target_load& load = load_of(table, where.name);
+    const double rate = read_rate_of(table, load);
+    placement choice;
+    choice.chosen = &where;
+    choice.kept_tokens = kept_tokens(load, what, memory_tokens);
+    choice.unread_ahead = unread_at(load, now);
+    choice.running = running_at(load, now);
+    const double unread = std::max(0.0, what.tokens_in - choice.kept_tokens);
+    choice.first_token_ms = first_token_base_ms + (choice.unread_ahead + unread) / rate;
+    double cost = engine_cost(load, where, choice, rate, unread, memory_tokens);
+    if (!kept_somewhere && &where == home) {
+      cost -= first_meeting * shared / rate;
+    }
+    if (best.chosen == nullptr || cost < best_cost) {
+      best = choice;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+placement choose_plain(const load_table& table, const std::vector<candidate>& candidates,
+                       std::uint64_t tie_breaker, instant now) {
+  placement best;
+  double best_cost = 0;
+  for (const candidate& where : candidates) {
+    const target_load& load = load_of(table, where.name);
+    placement choice;
+    choice.chosen = &where;
+    choice.running = running_at(load, now);
+    const double slots = std::max(1, where.slots);
+    const double service = load.service_ms > 0 ? load.service_ms : default_service_ms;
+    choice.first_token_ms =
+        std::max(0.0, static_cast<double>(choice.running) + 1 - slots) / slots * service;
+    const double used = static_cast<double>(choice.running) / slots;
+    const double spread =
+        static_cast<double>(stable_hash(where.name.value, tie_breaker) % 1'000) / 10'000;
+    const double cost = used + spread - (where.same_domain ? 0.1 : 0);
+    if (best.chosen == nullptr || cost < best_cost) {
+      best = choice;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+call_cost note_sent(load_table& table, const target_name& target, const prompt* what,
+                    double memory_tokens, instant now) {
+  target_load& load = table.targets[target];
+  call_cost cost;
+  cost.sent_at = now;
+  ++load.running;
+  if (what == nullptr) {
+    return cost;
+  }
+  cost.unread = std::max(0.0, what->tokens_in - kept_tokens(load, *what, memory_tokens));
+  cost.memory = what->tokens_in + what->tokens_out;
+  cost.ahead = unread_at(load, now) + cost.unread;
+  cost.reading = true;
+  load.unread += cost.unread;
+  load.memory += cost.memory;
+  load.tokens_read += cost.unread;
+  load.new_tokens_read += cost.unread;
+  for (const prompt_prefix& prefix : what->prefixes) {
+    remember_prefix(load, short_hash(prefix));
+    if (&prefix != &what->prefixes.back() && load.new_prefixes.size() < max_new_prefixes) {
+      load.new_prefixes.push_back(short_hash(prefix));
+    }
+  }
+  return cost;
+}
+
+void note_first_token(load_table& table, const target_name& target, call_cost& cost, instant now) {
+  auto found = table.targets.find(target);
+  if (!cost.reading || found == table.targets.end()) {
+    return;
+  }
+  cost.reading = false;
+  target_load& load = found->second;
+  load.unread = std::max(0.0, load.unread - cost.unread);
+  const double elapsed = to_ms(now - cost.sent_at) - first_token_base_ms;
+  if (cost.ahead < least_sample_tokens || elapsed <= 1) {
+    return;
+  }
+  const double sample = std::clamp(cost.ahead / elapsed, least_rate, most_rate);
+  const double before = read_rate_of(table, load);
+  const double bounded = std::clamp(sample, before / 3, before * 3);
+  load.read_rate = before + rate_memory * (bounded - before);
+  table.pool_read_rate =
+      table.pool_read_rate <= 0
+          ? load.read_rate
+          : table.pool_read_rate + rate_memory * (load.read_rate - table.pool_read_rate);
+}
+
+void note_ended(load_table& table, const target_name& target, call_cost& cost) {
+  auto found = table.targets.find(target);
+  if (found == table.targets.end()) {
+    return;
+  }
+  target_load& load = found->second;
+  load.running = std::max(0, load.running - 1);
+  if (cost.reading) {
+    load.unread = std::max(0.0, load.unread - cost.unread);
+    cost.reading = false;
+  }
+  load.memory = std::max(0.0, load.memory - cost.memory);
+}
+
+void note_service_time(load_table& table, const target_name& target, duration time) {
+  target_load& load = table.targets[target];
+  const double sample = to_ms(time);
+  load.service_ms =
+      load.service_ms <= 0 ? sample : load.service_ms + service_memory * (sample - load.service_ms);
+}
+
+void note_report(load_table& table, const target_name& target, int running, int waiting,
+                 instant now) {
+  target_load& load = table.targets[target];
+  load.reported_running = running;
+  load.reported_waiting = waiting;
+  load.reported_at = now;
+}
+
+void note_peer_load(load_table& table, const router_address& peer, const target_name& target,
+                    int running, double unread, const std::vector<std::uint32_t>& prefixes,
+                    double tokens_read, instant now) {
+  target_load& load = table.targets[target];
+  load.peers[peer] = {running, unread, now};
+  load.tokens_read += tokens_read;
+  for (std::uint32_t prefix : prefixes) {
+    remember_prefix(load, prefix);
+  }
+}
+
+void forget_load(load_table& table, const target_name& target) {
+  table.targets.erase(target);
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/core/placement.h
@@ -0,0 +1,122 @@
+// Where a call goes: the load of each target as one router sees it, and the choice.
+//
+// For engines the time to the first token is predicted from the prompt tokens that
+// are waiting to be read there (own calls, and peers' calls by their gossip), the
+// part of the prompt that the engine has in memory, and the speed at which it was
+// seen to read. What an engine keeps is followed by a clock of tokens read: a prefix
+// that was used `capacity` tokens ago has been evicted (least recently used first).
+//
+//   call_cost cost = note_sent(table, target, prompt, now);
+//   note_first_token(table, target, cost, now);   // the prompt has been read
+//   note_ended(table, target, cost);
+//   placement choice = choose_engine(table, candidates, prompt, capacity);
+//
+// Load patterns answered: long shared prompts over many subjects (each is read by
+// few engines), one hot subject (spills to others once the wait exceeds reading it
+// again), many routers on one stale report (own sends count at once).
+//
+// Invariants: running >= 0, unread >= 0. Thread safety: none; one loop.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "core/call.h"
+#include "core/types.h"
+
+namespace peridot {
+
+inline constexpr milliseconds peer_load_life{1'000};  // ten rounds of gossip
+inline constexpr double first_token_base_ms = 25;     // one step and the way there and back
+inline constexpr double assumed_read_rate = 30;       // tokens a ms before any was measured
+inline constexpr double kept_part =
+    0.7;  // of an engine's memory that holds prefixes, not running calls
+
+// What one call adds to its target's load.
+struct call_cost {
+  double unread = 0;     // prompt tokens that the target has to read
+  double memory = 0;     // tokens in memory while it runs
+  double ahead = 0;      // tokens that waited to be read when it was sent, its own included
+  bool reading = false;  // the first token has not come yet
+  instant sent_at{};
+};
+
+struct peer_load {
+  int running = 0;
+  double unread = 0;
+  instant told_at{};
+};
+
+struct target_load {
+  int running = 0;    // own calls
+  double unread = 0;  // own calls' prompt tokens not read yet
+  double memory = 0;  // own calls' tokens
+  std::map<router_address, peer_load> peers;
+  double tokens_read = 0;  // clock of the engine's memory, all routers
+  std::unordered_map<std::uint32_t, double> prefix_used_at;  // low half of the hash -> clock
+  std::vector<std::uint32_t> new_prefixes;                   // read since the last gossip
+  double new_tokens_read = 0;                                // likewise
+  double read_rate = 0;                                      // tokens a ms; 0: none measured
+  double service_ms = 0;      // mean time of a call at a plain target
+  int reported_running = -1;  // by the target itself with its newest answer; -1: none
+  int reported_waiting = 0;
+  instant reported_at{};
+};
+
+struct load_table {
+  std::map<target_name, target_load> targets;
+  double pool_read_rate = 0;  // mean over engines; 0: none measured
+};
+
+struct candidate {
+  target_name name;
+  int slots = 1;
+  bool same_domain = false;
+};
+
+struct placement {
+  const candidate* chosen = nullptr;  // null: there are no candidates
+  double first_token_ms = 0;          // predicted, from now
+  double kept_tokens = 0;             // of the prompt, expected in memory there
+  double unread_ahead = 0;            // waiting to be read there
+  int running = 0;                    // of all routers
+};
+
+int running_at(const target_load& load, instant now);
+double unread_at(const target_load& load, instant now);
+double read_rate_of(const load_table& table, const target_load& load);
+
+// Tokens of the prompt that the target is expected to have in memory.
+double kept_tokens(const target_load& load, const prompt& what, double memory_tokens);
+
+placement choose_engine(const load_table& table, const std::vector<candidate>& candidates,
+                        const prompt& what, double memory_tokens, instant now);
+
+// For targets that read no prompts: least busy by slots, then the own failure domain.
+// `first_token_ms` is the predicted wait for a slot.
+placement choose_plain(const load_table& table, const std::vector<candidate>& candidates,
+                       std::uint64_t tie_breaker, instant now);
+
+call_cost note_sent(load_table& table, const target_name& target, const prompt* what,
+                    double memory_tokens, instant now);
+void note_first_token(load_table& table, const target_name& target, call_cost& cost, instant now);
+void note_ended(load_table& table, const target_name& target, call_cost& cost);
+
+// Time of one whole call at a plain target.
+void note_service_time(load_table& table, const target_name& target, duration time);
+
+// What a target said of itself with an answer.
+void note_report(load_table& table, const target_name& target, int running, int waiting,
+                 instant now);
+
+// A peer's calls at the target; `prefixes` and `tokens_read` since its last message.
+void note_peer_load(load_table& table, const router_address& peer, const target_name& target,
+                    int running, double unread, const std::vector<std::uint32_t>& prefixes,
+                    double tokens_read, instant now);
+
+// The target restarted or is gone: nothing is known of it.
+void forget_load(load_table& table, const target_name& target);
+
+}  // namespace peridot
--- a/core/settings.h
+++ b/core/settings.h
@@ -1,4 +1,4 @@
-// Settings of one process, read from a TOML file once at start.
+// Settings of one process, read from a TOML file at start and on SIGHUP.
 //
 // Every key has a type, a unit, a default and a range; an unknown key, a wrong
 // type or a value out of range is refused with file, line and key before any
@@ -17,35 +17,33 @@
 #include <string_view>
 #include <vector>
 
-#include "core/config_checker.h"
+#include "core/document_error.h"
 #include "core/types.h"
 
 namespace peridot {
 
 struct router_settings {
-  std::string name;                   // process name in logs and time lines; required
-  domain_name domain;                 // failure domain; required
-  std::string http_address;           // "10.0.0.7:8080", callers and operators; required
-  router_address mesh_address;        // "10.0.0.7:7400", peers; required
-  std::vector<router_address> seeds;  // peers known before the list has been read
-  std::string config_service;         // "10.0.0.2:9000", the platform's service; required
-  std::string fleet_key;              // shared secret of the fleet, at least 16 bytes; required
-  std::chrono::milliseconds tick{5};
-  std::chrono::milliseconds load_poll{200};          // of owned targets
-  std::chrono::milliseconds service_timeout{2'000};  // one call to the platform's service
-  std::chrono::milliseconds watch_wait{10'000};      // one waiting watch
-  std::chrono::milliseconds stop_grace{130'000};     // longest graceful shutdown
-  std::chrono::milliseconds key_life{3'600'000};     // of an idempotency key
-  std::size_t max_connections = 4'096;
-  std::size_t max_queued = 4'096;  // requests, over all organisations
-  std::size_t max_header_bytes = 16'384;
-  std::size_t max_body_bytes = 1 << 20;
-  std::size_t stream_buffer_bytes = 262'144;  // per slow caller, then back pressure
-  std::size_t max_keys = 100'000;             // used keys remembered
-  std::size_t key_result_bytes = 65'536;      // largest answer kept for repeats
-  std::size_t key_results_total_bytes = 16 << 20;
-  std::size_t timeline_events = 20'000;
-  std::string log_level = "info";  // debug, info, warn, error
+  std::string name;                // process name in logs; required
+  domain_name domain;              // failure domain; required
+  std::string callers_address;     // "10.0.0.7:8080"; required
+  std::string readiness_address;   // for the balancer; required
+  std::string control_address;     // for operators: status and metrics; empty: not served
+  std::string metrics_address;     // metrics alone, at a fixed port; empty: not served
+  router_address mesh_address;     // "10.0.0.7:7400", peers; required
+  std::vector<std::string> seeds;  // control addresses of routers; their mesh port is this one's
+  std::string store_address;       // the platform's store; required
+  std::string fleet_key;           // shared by the fleet's routers, at least 16 bytes; required
+  std::chrono::milliseconds stop_grace{8'000};   // until the platform kills the process
+  std::chrono::milliseconds store_touch{3'000};  // the platform's bound of a calm store
+  std::chrono::milliseconds gossip_interval{200};
+  double retry_ratio = 0.2;                    // the platform's bound on further sends, per call
+  double retry_slack = 58;                     // likewise, in one window, all routers
+  double cold_over = 1.5;                      // a cold target bears its rate times this
+  double cold_slack = 5;                       // plus this, in one second, all routers
+  std::size_t max_connections = 3'000;         // of callers
+  std::size_t max_body_total = 24 << 20;       // bytes of request bodies held at once
+  std::size_t stream_buffer_bytes = 64 << 10;  // per slow caller, then back pressure
+  std::string log_level = "info";              // debug, info, warn, error
 };
 
 struct settings_result {
--- /dev/null
+++ b/net/call_internal.h
@@ -0,0 +1,43 @@
+// Steps of a call, shared by call_relay.cc (from arrival to the send) and
+// call_answer.cc (from the target's answer to the caller's).
+//
+// Internal to net/.
+#pragma once
+
+#include <string>
+
+#include "net/router_state.h"
+
+namespace peridot {
+
+// How a call ended, for logs and metrics.
+enum class call_outcome { answered, refused, failed, caller_left };
+
+live_call* find_call(router_state& router, std::uint64_t number);
+
+// Sends the call to a target, or ends it if none can take it.
+void place_call(live_call& call);
+
+// Starts `current`'s send; the callbacks are call_answer.cc's.
+void start_attempt(live_call& call, const target_state& target, const placement& where);
+
+// The current attempt is over: corrects load and health, and closes its connection
+// unless its answer is complete.
+void end_attempt(live_call& call, call_result result);
+
+// True if the call may be sent to one more target now; takes it from the budget.
+bool may_send_again(live_call& call);
+
+// Final answers. Afterwards the call is gone.
+void end_with_refusal(live_call& call, refusal why, duration retry_after);
+void end_with_failure(live_call& call, refusal why);
+void end_answered(live_call& call, int status);
+void end_broken_off(live_call& call, refusal why);
+
+pool_state& pool_of(router_state& router, const pool_name& name);
+
+// A target may have crashed while it ran the call.
+void note_broken_run(live_call& call);
+void note_unreachable(router_state& router, const target_name& target);
+
+}  // namespace peridot
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -1,93 +1,122 @@
-// HTTP calls to targets, peers and the platform's service, by evhttp.
+// HTTP/1.1 client side: calls to targets, the platform's store and other routers.
 //
-// One call per connection. The answer is streamed to the caller's handlers as it
-// arrives, and its end says how much is known:
+// Connections to one address are kept and used again, one call at a time each. The
+// answer is handed out as it arrives, and its end says how much is known:
 //
-//   complete  the whole answer arrived: last chunk, or the stated length
+//   complete  the whole answer arrived
 //   refused   no byte of the call left this process; nothing can have run
-//   lost      the connection broke or timed out after bytes had left, the answer
-//             has no framing that tells its end, or it exceeds a bound of the call
+//   lost      the connection broke or timed out after bytes had left, or the answer
+//             is no answer to this call
 //
-// An answer may have any length: memory holds one chunk of it at most.
-//
-//   http_call call{.address = "10.0.0.9:8000", .path = "/v1/generate", .body = body};
-//   std::shared_ptr<client_call> handle = start_call(base, call, handlers);
+//   http_call call{.address = "10.0.0.9:8000", .head = "POST /x HTTP/1.1\r\n...", ...};
+//   std::shared_ptr<client_call> handle = start_call(client, call, handlers);
 //   pause_call(*handle); resume_call(*handle);   // back pressure
 //   cancel_call(*handle);                        // closes; no handler is called any more
 //
+// An answer that echoes another call's id belongs to an earlier call: it is skipped.
+// A connection is not used again after anything odd: bytes behind an answer, an
+// answer before the whole call was written, an announced close.
+//
 // Handlers are called from the loop, never from within start_call.
 // Thread safety: none; one loop.
 #pragma once
 
 #include <event2/bufferevent.h>
-#include <event2/http.h>
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
+#include "core/types.h"
+#include "net/http_message.h"
 #include "net/loop.h"
 
 namespace peridot {
 
-struct http_header {
-  std::string name;
-  std::string value;
-};
-
-enum class http_method { get, post };
-
 struct http_call {
   std::string address;
-  http_method method = http_method::get;
-  std::string path = "/";
-  std::vector<http_header> headers;
+  std::string method = "GET";
+  std::string target = "/";          // path and query
+  std::vector<http_header> headers;  // Host included; without length and connection headers
   std::string body;
-  std::chrono::milliseconds idle_timeout{5'000};  // connecting, and between bytes
-  std::size_t max_answer_chunk = 1 << 20;         // a larger one ends the call as lost
-  std::size_t max_head_bytes = 64 << 10;          // of the answer
-};
-
-struct answer_head {
-  int status = 0;
-  bool framed = false;  // chunked or of stated length, so that its end can be told
-  std::vector<http_header> headers;
+  bool has_body = false;    // a length is sent also if the body is empty
+  std::string echo_header;  // answers to this call carry it with `echo_value`; empty: not checked
+  std::string echo_value;
+  milliseconds connect_timeout{300};
+  milliseconds idle_timeout{0};    // between bytes of the answer; 0: none
+  milliseconds max_reuse_idle{0};  // longest rest of a connection before this call; 0: new one
+  std::size_t max_head_bytes = 64 << 10;
 };
 
 enum class call_end { complete, refused, lost };
 
 struct call_handlers {
-  std::function<void(const answer_head&)> on_head;
-  std::function<void(std::string_view)> on_data;  // one chunk, or a part of the body
-  std::function<void(call_end)> on_end;           // exactly once unless cancelled
+  std::function<void(const message_head&)> on_head;
+  std::function<void(std::string_view)> on_data;
+  std::function<void(call_end)> on_end;  // exactly once unless cancelled
 };
 
+struct http_client;
+struct client_connection;
+
 struct client_call {
-  event_base* base = nullptr;
-  evhttp_connection* connection = nullptr;
-  evhttp_request* request = nullptr;
+  http_client* client = nullptr;
+  http_call call;
   call_handlers handlers;
-  bool bytes_left = false;  // of the call, to the network
-  bool head_seen = false;
-  bool framed = false;
-  bool chunked = false;
-  bool ended = false;
-  std::size_t max_chunk = 0;
-  std::size_t passed_on = 0;          // bytes of the body
-  std::shared_ptr<client_call> self;  // keeps this alive while the library may call back
+  client_connection* connection = nullptr;  // null once the call has ended
+  bool sent = false;                        // a byte may have left
+  bool paused = false;
+  std::string problem;  // why it was lost, for logs
 };
 
-std::shared_ptr<client_call> start_call(event_base* base, const http_call& call,
+struct client_connection {
+  http_client* client = nullptr;
+  std::string address;
+  bufferevent* stream = nullptr;
+  http_parser parser;
+  std::shared_ptr<client_call> call;  // null while idle
+  event_ptr timer;
+  bool connected = false;
+  bool skipping = false;     // the answer that arrives belongs to an earlier call
+  bool odd = false;          // not to be used again
+  bool head_passed = false;  // to the call's handlers
+  instant idle_since{};
+  milliseconds keep{0};  // how long the other side keeps it, as it said; 0: not said
+  std::list<client_connection*>::iterator place;
+};
+
+struct http_client {
+  event_base* base = nullptr;
+  milliseconds default_keep{800};  // of a connection whose other side states no time
+  std::map<std::string, std::list<client_connection*>> idle;  // by address, newest last
+  std::list<client_connection*> all;
+  std::map<std::string, int> open_by_address;
+  std::uint64_t connections_opened = 0;
+  std::uint64_t connections_reused = 0;
+  std::uint64_t answers_skipped = 0;
+
+  http_client() = default;
+  http_client(const http_client&) = delete;
+  http_client& operator=(const http_client&) = delete;
+  ~http_client();
+};
+
+// Precondition: the address was checked by parse_ip_endpoint().
+std::shared_ptr<client_call> start_call(http_client& client, http_call call,
                                         call_handlers handlers);
 void cancel_call(client_call& call);
 void pause_call(client_call& call);
 void resume_call(client_call& call);
 
-// Value of the first header of this name, case ignored; empty if there is none.
-std::string_view find_header(const std::vector<http_header>& headers, std::string_view name);
+// Closes idle connections that the other side may close soon. Call a few times a second.
+void close_stale(http_client& client, instant now);
+
+// Closes the idle connections to an address, e.g. because its target is gone.
+void forget_address(http_client& client, const std::string& address);
 
 }  // namespace peridot
--- /dev/null
+++ b/net/http_listener.cc
@@ -0,0 +1,411 @@
+#include "net/http_listener.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <cstring>
+#include <utility>
+
+#include "core/check.h"
+#include "core/ip_endpoint.h"
+#include "net/log.h"
+
+namespace peridot {
+namespace {
+
+constexpr milliseconds linger_time{1'000};        // for a caller to read an answer before a reset
+constexpr std::size_t waiting_bytes = 64 << 10;   // read ahead while an answer is under way
+constexpr std::size_t reading_bytes = 256 << 10;  // read at once of a request
+constexpr int accept_queue = 512;
+constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
+
+instant current() {
+  return std::chrono::steady_clock::now();
+}
+
+void arm(http_connection& connection, milliseconds time) {
+  const timeval limit = to_timeval(time);
+  event_add(connection.timer.get(), &limit);
+}
+
+void release_body(http_connection& connection) {
+  connection.listener->body_total -= connection.body_bytes;
+  connection.body_bytes = 0;
+}
+
+// Frees the connection. An exchange that is under way learns that its caller left.
+void drop(http_connection& connection) {
+  std::shared_ptr<http_exchange> exchange = std::move(connection.exchange);
+  release_body(connection);
+  bufferevent_free(connection.stream);
+  connection.listener->open.erase(&connection);
+  delete &connection;
+  if (exchange != nullptr) {
+    exchange->connection = nullptr;
+    if (exchange->on_gone) {
+      const std::function<void()> on_gone = std::move(exchange->on_gone);
+      on_gone();
+    }
+  }
+}
+
+// Lets the caller read the answer before the socket is closed: closing with unread
+// bytes would reset the connection and could destroy the answer on its way.
+void close_after_answer(http_connection& connection) {
+  if (connection.lingering) {
+    return;
+  }
+  connection.lingering = true;
+  shutdown(bufferevent_getfd(connection.stream), SHUT_WR);
+  arm(connection, linger_time);
+}
+
+void write_head(http_connection& connection, int status, const std::vector<http_header>& headers,
+                std::string_view framing) {
+  std::string text =
+      "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason_phrase(status)) + "\r\n";
+  for (const http_header& header : headers) {
+    text += header.name + ": " + header.value + "\r\n";
+  }
+  text += framing;
+  if (connection.close_next) {
+    text += "Connection: close\r\n";
+  } else {
+    const std::chrono::seconds idle = std::chrono::duration_cast<std::chrono::seconds>(
+        connection.listener->limits().idle_timeout);
+    text += "Keep-Alive: timeout=" + std::to_string(idle.count()) + "\r\n";
+  }
+  text += "\r\n";
+  bufferevent_write(connection.stream, text.data(), text.size());
+}
+
+// Answers a request that the handler never sees, and ends the connection.
+void reject(http_connection& connection, int status, std::string_view text) {
+  ++connection.listener->rejected;
+  log_line(log_part::http, log_level::warn,
+           "Request refused. peer=" + connection.peer + " status=" + std::to_string(status) +
+               " problem=\"" + std::string(text) + "\"");
+  connection.close_next = true;
+  const std::string body = std::string(text) + "\n";
+  std::vector<http_header> headers = {{"Content-Type", "text/plain"}};
+  if (status == 503) {
+    headers.push_back({"Retry-After", "1"});
+  }
+  write_head(connection, status, headers,
+             "Content-Length: " + std::to_string(body.size()) + "\r\n");
+  bufferevent_write(connection.stream, body.data(), body.size());
+  close_after_answer(connection);
+}
+
+void await_request(http_connection& connection) {
+  connection.reading = false;
+  start_message(connection.parser, message_side::request);
+  connection.parser.max_head_bytes = connection.listener->limits().max_header_bytes;
+  arm(connection, connection.listener->limits().idle_timeout);
+}
+
+// Counts what has arrived of the body. False if the request was refused.
+bool check_body(http_connection& connection) {
+  http_listener& listener = *connection.listener;
+  const std::size_t most = listener.limits().max_body_bytes;
+  const http_parser& parser = connection.parser;
+  const bool announced_too_large =
+      parser.head.framing == body_framing::length && parser.head.length > most;
+  if (announced_too_large || parser.body.size() > most) {
+    reject(connection, 413, "body too large");
+    return false;
+  }
+  const std::size_t grown = parser.body.size() - connection.body_bytes;
+  if (listener.body_total + grown > listener.options.max_body_total) {
+    reject(connection, 503, "no memory for the body");
+    return false;
+  }
+  listener.body_total += grown;
+  connection.body_bytes += grown;
+  return true;
+}
+
+void hand_over(http_connection& connection) {
+  http_listener& listener = *connection.listener;
+  std::shared_ptr<http_exchange> exchange = std::make_shared<http_exchange>();
+  exchange->id = listener.next_id++;
+  exchange->head = std::move(connection.parser.head);
+  exchange->body = std::move(connection.parser.body);
+  exchange->first_byte = connection.first_byte;
+  exchange->read_at = current();
+  exchange->peer = connection.peer;
+  exchange->connection = &connection;
+  connection.exchange = exchange;
+  connection.close_next = !exchange->head.keep_alive || listener.closing_connections;
+  event_del(connection.timer.get());
+  bufferevent_setwatermark(connection.stream, EV_READ, 0, waiting_bytes);
+  listener.handler(exchange);
+}
+
+// Reads what has arrived, up to one whole request.
+void read_request(http_connection& connection) {
+  evbuffer* input = bufferevent_get_input(connection.stream);
+  if (!connection.reading) {
+    // A line break between requests is tolerated (RFC 9112, 2.2).
+    while (evbuffer_get_length(input) >= 2 &&
+           std::memcmp(evbuffer_pullup(input, 2), "\r\n", 2) == 0) {
+      evbuffer_drain(input, 2);
+    }
+    if (evbuffer_get_length(input) == 0) {
+      return;
+    }
+    connection.reading = true;
+    connection.first_byte = current();
+    arm(connection, connection.listener->limits().header_timeout);
+  }
+  const bool head_before = connection.parser.head_done;
+  const parse_progress progress = parse_input(connection.parser, input);
+  if (progress == parse_progress::malformed) {
+    reject(connection, 400, connection.parser.problem);
+    return;
+  }
+  if (progress == parse_progress::head_too_large) {
+    reject(connection, 431, "header too large");
+    return;
+  }
+  if (connection.parser.head_done && !check_body(connection)) {
+    return;
+  }
+  if (progress == parse_progress::complete) {
+    hand_over(connection);
+    return;
+  }
+  if (connection.parser.head_done) {
+    arm(connection, connection.listener->limits().idle_timeout);
+    if (!head_before &&
+        has_token(find_header(connection.parser.head.headers, "Expect"), "100-continue")) {
+      bufferevent_write(connection.stream, continue_line.data(), continue_line.size());
+    }
+  }
+}
+
+void on_readable(bufferevent*, void* argument) {
+  http_connection& connection = *static_cast<http_connection*>(argument);
+  if (connection.lingering) {
+    evbuffer* input = bufferevent_get_input(connection.stream);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
+  if (connection.exchange == nullptr) {
+    read_request(connection);
+  }
+}
+
+void on_written(bufferevent*, void* argument) {
+  http_connection& connection = *static_cast<http_connection*>(argument);
+  if (connection.exchange != nullptr) {
+    if (connection.exchange->on_drained) {
+      const std::function<void()> on_drained = connection.exchange->on_drained;
+      on_drained();
+    }
+    return;
+  }
+  if (connection.close_next) {
+    close_after_answer(connection);
+  }
+}
+
+void on_event(bufferevent*, short what, void* argument) {
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    drop(*static_cast<http_connection*>(argument));
+  }
+}
+
+void on_timer(evutil_socket_t, short, void* argument) {
+  http_connection& connection = *static_cast<http_connection*>(argument);
+  if (connection.lingering || connection.exchange != nullptr || !connection.reading) {
+    drop(connection);
+    return;
+  }
+  reject(connection, 408, "request did not arrive in time");
+}
+
+void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr* address, int, void* argument) {
+  http_listener& listener = *static_cast<http_listener*>(argument);
+  if (listener.open.size() >= listener.options.max_connections) {
+    log_line(
+        log_part::http, log_level::warn,
+        "Connection refused. reason=max_connections open=" + std::to_string(listener.open.size()));
+    evutil_closesocket(socket);
+    return;
+  }
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  http_connection* connection = new http_connection;
+  connection->listener = &listener;
+  connection->stream = bufferevent_socket_new(listener.base, socket, BEV_OPT_CLOSE_ON_FREE);
+  PERIDOT_CHECK(connection->stream != nullptr, "out of memory for a connection");
+  connection->timer.reset(evtimer_new(listener.base, on_timer, connection));
+  char text[INET_ADDRSTRLEN] = "";
+  if (address->sa_family == AF_INET) {
+    const sockaddr_in* ip = reinterpret_cast<const sockaddr_in*>(address);
+    inet_ntop(AF_INET, &ip->sin_addr, text, sizeof(text));
+    connection->peer = std::string(text) + ":" + std::to_string(ntohs(ip->sin_port));
+  }
+  listener.open.insert(connection);
+  bufferevent_setcb(connection->stream, on_readable, on_written, on_event, connection);
+  bufferevent_setwatermark(connection->stream, EV_READ, 0, reading_bytes);
+  await_request(*connection);
+  bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
+}
+
+// The answer is complete in the output buffer: goes on with the next request.
+void finish_exchange(http_exchange& exchange) {
+  http_connection& connection = *exchange.connection;
+  exchange.connection = nullptr;
+  connection.exchange.reset();
+  ++connection.answered;
+  release_body(connection);
+  connection.close_next = connection.close_next || connection.listener->closing_connections;
+  if (connection.close_next) {
+    arm(connection, connection.listener->options.stall_timeout);
+    if (evbuffer_get_length(bufferevent_get_output(connection.stream)) == 0) {
+      close_after_answer(connection);
+    }
+    return;
+  }
+  bufferevent_setwatermark(connection.stream, EV_READ, 0, reading_bytes);
+  await_request(connection);
+  bufferevent_trigger(connection.stream, EV_READ,
+                      BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+bool is_head_request(const http_exchange& exchange) {
+  return exchange.head.method == "HEAD";
+}
+
+}  // namespace
+
+http_listener::~http_listener() {
+  stop_accepting(*this);
+  while (!open.empty()) {
+    http_connection& connection = **open.begin();
+    if (connection.exchange != nullptr) {
+      connection.exchange->on_gone = nullptr;
+    }
+    drop(connection);
+  }
+}
+
+leaf::result<std::unique_ptr<http_listener>> start_listener(event_base* base,
+                                                            const listener_options& options,
+                                                            std::function<caller_limits()> limits,
+                                                            exchange_handler handler) {
+  const std::optional<ip_endpoint> endpoint = parse_ip_endpoint(options.address);
+  if (!endpoint.has_value() || endpoint->v6) {
+    return setup_error("bind", options.address, "not an IPv4 address and port");
+  }
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint->port);
+  inet_pton(AF_INET, endpoint->ip.c_str(), &address.sin_addr);
+  std::unique_ptr<http_listener> listener = std::make_unique<http_listener>();
+  listener->base = base;
+  listener->options = options;
+  listener->limits = std::move(limits);
+  listener->handler = std::move(handler);
+  listener->socket = evconnlistener_new_bind(
+      base, on_accept, listener.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, accept_queue,
+      reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (listener->socket == nullptr) {
+    return setup_error("bind", options.address, std::strerror(errno));
+  }
+  return listener;
+}
+
+void stop_accepting(http_listener& listener) {
+  if (listener.socket != nullptr) {
+    evconnlistener_free(std::exchange(listener.socket, nullptr));
+  }
+}
+
+void announce_close(http_listener& listener) {
+  listener.closing_connections = true;
+}
+
+void close_idle(http_listener& listener) {
+  const std::set<http_connection*> all = listener.open;
+  for (http_connection* connection : all) {
+    const bool idle = connection->exchange == nullptr && !connection->reading &&
+                      !connection->lingering && !connection->close_next &&
+                      evbuffer_get_length(bufferevent_get_input(connection->stream)) == 0;
+    if (idle) {
+      drop(*connection);
+    }
+  }
+}
+
+void reply(http_exchange& exchange, int status, const std::vector<http_header>& headers,
+           std::string_view body) {
+  reply_begin(exchange, status, headers, body.size());
+  reply_data(exchange, body);
+  reply_end(exchange);
+}
+
+void reply_begin(http_exchange& exchange, int status, const std::vector<http_header>& headers,
+                 std::optional<std::uint64_t> length) {
+  if (exchange.connection == nullptr) {
+    return;
+  }
+  PERIDOT_CHECK(!exchange.begun, "an answer begins twice");
+  exchange.begun = true;
+  http_connection& connection = *exchange.connection;
+  connection.close_next = connection.close_next || connection.listener->closing_connections;
+  std::string framing;
+  const bool bodiless = status == 204 || status == 304;
+  if (length.has_value() && !bodiless) {
+    framing = "Content-Length: " + std::to_string(*length) + "\r\n";
+  } else if (!bodiless && exchange.head.minor_version >= 1) {
+    exchange.chunked = true;
+    framing = "Transfer-Encoding: chunked\r\n";
+  } else if (!bodiless) {
+    connection.close_next = true;  // HTTP/1.0: the body ends with the connection
+  }
+  write_head(connection, status, headers, framing);
+}
+
+void reply_data(http_exchange& exchange, std::string_view data) {
+  if (exchange.connection == nullptr || data.empty() || is_head_request(exchange)) {
+    return;
+  }
+  evbuffer* output = bufferevent_get_output(exchange.connection->stream);
+  if (exchange.chunked) {
+    evbuffer_add_printf(output, "%zx\r\n", data.size());
+  }
+  evbuffer_add(output, data.data(), data.size());
+  if (exchange.chunked) {
+    evbuffer_add(output, "\r\n", 2);
+  }
+}
+
+void reply_end(http_exchange& exchange) {
+  if (exchange.connection == nullptr) {
+    return;
+  }
+  if (exchange.chunked && !is_head_request(exchange)) {
+    bufferevent_write(exchange.connection->stream, "0\r\n\r\n", 5);
+  }
+  finish_exchange(exchange);
+}
+
+void reply_abort(http_exchange& exchange) {
+  if (exchange.connection == nullptr) {
+    return;
+  }
+  exchange.on_gone = nullptr;
+  drop(*exchange.connection);
+}
+
+std::size_t unsent_bytes(const http_exchange& exchange) {
+  return exchange.connection == nullptr
+             ? 0
+             : evbuffer_get_length(bufferevent_get_output(exchange.connection->stream));
+}
+
+}  // namespace peridot
--- /dev/null
+++ b/net/http_listener.h
@@ -0,0 +1,135 @@
+// HTTP/1.1 server side of a process: callers' connections and operators' pages.
+//
+// Each whole request becomes an `http_exchange`, handed to one function. The answer
+// may come at any later time, whole or in parts:
+//
+//   leaf::result<std::unique_ptr<http_listener>> server = start_listener(base, options, handle);
+//   void handle(const std::shared_ptr<http_exchange>& exchange) {
+//     reply(*exchange, 200, {{"Content-Type", "text/plain"}}, "ok\n");
+//   }
+//   reply_begin(...); reply_data(...); reply_end(...);   // in parts
+//   reply_abort(...);   // an answer that cannot be completed: the connection
+//                       // closes without the last chunk or the stated length
+//
+// One request at a time is read from a connection; further ones wait in the socket.
+// Bad input gets 400, 408, 413 or 431 and ends the connection without reaching the
+// handler. A caller that leaves, or closes its side for writing, is noticed at once,
+// also while nothing is being sent; `on_gone` is then called once.
+//
+// A connection that the listener will close says so: `Connection: close` in its last
+// answer, and `Keep-Alive: timeout=N` before it.
+//
+// Budget: max_connections; max_body_total bytes of request bodies over all
+// connections, beyond which a request is refused with 503.
+// Thread safety: none; one loop.
+#pragma once
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/published.h"
+#include "net/error.h"
+#include "net/http_message.h"
+#include "net/loop.h"
+
+namespace peridot {
+
+struct http_listener;
+struct http_connection;
+
+struct listener_options {
+  std::string address;  // "10.0.0.7:8080"
+  std::size_t max_connections = 3'000;
+  std::size_t max_body_total = 32 << 20;
+  milliseconds stall_timeout{10'000};  // of a caller that reads nothing of a finished answer
+};
+
+// One request and its answer.
+struct http_exchange {
+  std::uint64_t id = 0;  // unique in the process
+  message_head head;
+  std::string body;
+  instant first_byte{};  // of the request
+  instant read_at{};     // whole
+  std::string peer;      // address of the caller
+  std::function<void()> on_gone;
+  std::function<void()> on_drained;  // everything written so far has left
+
+  http_connection* connection = nullptr;  // null once the answer ended or the caller left
+  bool begun = false;
+  bool chunked = false;
+};
+
+using exchange_handler = std::function<void(const std::shared_ptr<http_exchange>&)>;
+
+struct http_connection {
+  http_listener* listener = nullptr;
+  bufferevent* stream = nullptr;
+  http_parser parser;
+  std::shared_ptr<http_exchange> exchange;  // set while a request is being answered
+  event_ptr timer;
+  std::string peer;
+  instant first_byte{};
+  bool reading = false;        // a request has begun to arrive
+  bool close_next = false;     // after the current answer
+  bool lingering = false;      // only reads until the caller closes
+  std::size_t body_bytes = 0;  // counted against max_body_total
+  std::size_t answered = 0;
+};
+
+struct http_listener {
+  event_base* base = nullptr;
+  listener_options options;
+  exchange_handler handler;
+  std::function<caller_limits()> limits;  // in force now
+  evconnlistener* socket = nullptr;
+  std::set<http_connection*> open;
+  std::size_t body_total = 0;
+  std::uint64_t next_id = 1;
+  bool closing_connections = false;  // answers say that the connection ends
+  std::uint64_t rejected = 0;        // requests refused before they reached the handler
+
+  http_listener() = default;
+  http_listener(const http_listener&) = delete;
+  http_listener& operator=(const http_listener&) = delete;
+  ~http_listener();
+};
+
+// Fails at step "bind" if the address cannot be bound.
+leaf::result<std::unique_ptr<http_listener>> start_listener(event_base* base,
+                                                            const listener_options& options,
+                                                            std::function<caller_limits()> limits,
+                                                            exchange_handler handler);
+
+// No further connection is accepted.
+void stop_accepting(http_listener& listener);
+
+// From now on each answer ends its connection.
+void announce_close(http_listener& listener);
+
+// Closes the connections on which no request has begun to arrive.
+void close_idle(http_listener& listener);
+
+// All are without effect once the caller has left. `headers` must not hold a length,
+// a transfer coding or headers of one connection.
+void reply(http_exchange& exchange, int status, const std::vector<http_header>& headers,
+           std::string_view body);
+// `length`: of the body where it is known; otherwise it is sent in chunks.
+void reply_begin(http_exchange& exchange, int status, const std::vector<http_header>& headers,
+                 std::optional<std::uint64_t> length);
+void reply_data(http_exchange& exchange, std::string_view data);
+void reply_end(http_exchange& exchange);
+void reply_abort(http_exchange& exchange);
+
+// Bytes written to the exchange that have not left yet.
+std::size_t unsent_bytes(const http_exchange& exchange);
+
+}  // namespace peridot
--- /dev/null
+++ b/net/http_message.cc
@@ -0,0 +1,370 @@
+#include "net/http_message.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+
+namespace peridot {
+namespace {
+
+constexpr std::string_view head_end = "\r\n\r\n";
+constexpr std::size_t status_at = 9;           // behind "HTTP/1.1 "
+constexpr std::size_t max_length_digits = 18;  // fits 64 bits
+
+bool is_token_character(char character) {
+  const unsigned char value = static_cast<unsigned char>(character);
+  return std::isalnum(value) != 0 ||
+         std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
+}
+
+bool is_token(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), is_token_character);
+}
+
+bool has_control_character(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char character) {
+    const unsigned char value = static_cast<unsigned char>(character);
+    return (value < 0x20 && value != '\t') || value == 0x7f;
+  });
+}
+
+bool is_digits(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(),
+                                      [](unsigned char digit) { return std::isdigit(digit) != 0; });
+}
+
+std::string_view trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+std::string read_status_line(std::string_view line, message_head& head) {
+  const bool fits = line.size() >= status_at + 3 &&
+                    (line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ")) &&
+                    is_digits(line.substr(status_at, 3)) &&
+                    (line.size() == status_at + 3 || line[status_at + 3] == ' ');
+  if (!fits) {
+    return "status line";
+  }
+  head.status = std::atoi(std::string(line.substr(status_at, 3)).c_str());
+  head.minor_version = line[7] - '0';
+  return "";
+}
+
+std::string read_start_line(std::string_view line, message_side side, message_head& head) {
+  if (side == message_side::response) {
+    return read_status_line(line, head);
+  }
+  const std::size_t first = line.find(' ');
+  const std::size_t second = line.find(' ', first == std::string_view::npos ? first : first + 1);
+  if (first == std::string_view::npos || second == std::string_view::npos) {
+    return "request line";
+  }
+  const std::string_view version = line.substr(second + 1);
+  head.method = line.substr(0, first);
+  head.target = line.substr(first + 1, second - first - 1);
+  if (!is_token(head.method) || !head.target.starts_with('/') ||
+      (version != "HTTP/1.1" && version != "HTTP/1.0")) {
+    return "request line";
+  }
+  head.minor_version = version.back() - '0';
+  return "";
+}
+
+// How often the fields that frame a message occur.
+struct field_counts {
+  int hosts = 0;
+  int lengths = 0;
+  int codings = 0;
+};
+
+std::string read_field(std::string_view line, message_head& head, field_counts& counts) {
+  const std::size_t colon = line.find(':');
+  const std::string_view name = line.substr(0, colon);
+  if (colon == std::string_view::npos || !is_token(name)) {
+    return "header name";
+  }
+  const std::string_view value = trim(line.substr(colon + 1));
+  counts.hosts += equal_ignoring_case(name, "Host") ? 1 : 0;
+  if (equal_ignoring_case(name, "Content-Length")) {
+    ++counts.lengths;
+    if (!is_digits(value) || value.size() > max_length_digits) {
+      return "content length";
+    }
+  }
+  if (equal_ignoring_case(name, "Transfer-Encoding")) {
+    ++counts.codings;
+    if (!equal_ignoring_case(value, "chunked")) {
+      return "transfer coding";
+    }
+  }
+  head.headers.push_back({std::string(name), std::string(value)});
+  return "";
+}
+
+void set_keep_alive(message_head& head) {
+  const std::string_view connection = find_header(head.headers, "Connection");
+  head.keep_alive = head.minor_version >= 1 ? !has_token(connection, "close")
+                                            : has_token(connection, "keep-alive");
+}
+
+// Precondition: read_head() accepted the head.
+void set_framing(http_parser& parser) {
+  message_head& head = parser.head;
+  set_keep_alive(head);
+  const bool no_body =
+      parser.side == message_side::response && (parser.answers_head_request || head.status < 200 ||
+                                                head.status == 204 || head.status == 304);
+  if (no_body) {
+    head.framing = body_framing::none;
+  } else if (has_header(head.headers, "Transfer-Encoding")) {
+    head.framing = body_framing::chunked;
+  } else if (has_header(head.headers, "Content-Length")) {
+    head.length = std::strtoull(std::string(find_header(head.headers, "Content-Length")).c_str(),
+                                nullptr, 10);
+    head.framing = head.length == 0 ? body_framing::none : body_framing::length;
+  } else {
+    head.framing =
+        parser.side == message_side::request ? body_framing::none : body_framing::until_close;
+  }
+  parser.left = head.length;
+  parser.ended = head.framing == body_framing::none;
+}
+
+parse_progress fail(http_parser& parser, std::string problem) {
+  parser.problem = std::move(problem);
+  return parse_progress::malformed;
+}
+
+parse_progress parse_head(http_parser& parser, evbuffer* input) {
+  const ::evbuffer_ptr found = evbuffer_search(input, head_end.data(), head_end.size(), nullptr);
+  if (found.pos < 0) {
+    return evbuffer_get_length(input) > parser.max_head_bytes ? parse_progress::head_too_large
+                                                              : parse_progress::incomplete;
+  }
+  const std::size_t length = static_cast<std::size_t>(found.pos) + head_end.size();
+  if (length > parser.max_head_bytes) {
+    return parse_progress::head_too_large;
+  }
+  const std::string bytes(
+      reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length))),
+      length);
+  evbuffer_drain(input, length);
+  std::string problem = read_head(bytes, parser.side, parser.head);
+  if (!problem.empty()) {
+    return fail(parser, std::move(problem));
+  }
+  parser.head_done = true;
+  set_framing(parser);
+  return parse_progress::incomplete;
+}
+
+void read_length_body(http_parser& parser, evbuffer* input, std::size_t available) {
+  const std::size_t take = static_cast<std::size_t>(
+      std::min<std::uint64_t>(parser.left, static_cast<std::uint64_t>(available)));
+  const std::size_t before = parser.body.size();
+  parser.body.resize(before + take);
+  evbuffer_remove(input, parser.body.data() + before, take);
+  parser.left -= take;
+  parser.ended = parser.left == 0;
+}
+
+parse_progress read_chunked_body(http_parser& parser, evbuffer* input) {
+  switch (read_chunks(parser.chunks, input, parser.body)) {
+    case chunk_progress::malformed:
+      return fail(parser, "chunk");
+    case chunk_progress::complete:
+      parser.ended = true;
+      break;
+    case chunk_progress::incomplete:
+      break;
+  }
+  return parser.ended ? parse_progress::complete : parse_progress::incomplete;
+}
+
+}  // namespace
+
+std::string_view find_header(const std::vector<http_header>& headers, std::string_view name) {
+  auto found = std::find_if(headers.begin(), headers.end(), [name](const http_header& header) {
+    return equal_ignoring_case(header.name, name);
+  });
+  return found == headers.end() ? std::string_view() : std::string_view(found->value);
+}
+
+bool has_header(const std::vector<http_header>& headers, std::string_view name) {
+  return std::any_of(headers.begin(), headers.end(), [name](const http_header& header) {
+    return equal_ignoring_case(header.name, name);
+  });
+}
+
+bool equal_ignoring_case(std::string_view left, std::string_view right) {
+  return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+bool has_token(std::string_view list, std::string_view token) {
+  while (!list.empty()) {
+    const std::size_t comma = list.find(',');
+    if (equal_ignoring_case(trim(list.substr(0, comma)), token)) {
+      return true;
+    }
+    if (comma == std::string_view::npos) {
+      break;
+    }
+    list.remove_prefix(comma + 1);
+  }
+  return false;
+}
+
+bool is_hop_by_hop(const std::vector<http_header>& headers, std::string_view name) {
+  constexpr std::string_view always[] = {"Connection",
+                                         "Keep-Alive",
+                                         "Proxy-Connection",
+                                         "Proxy-Authenticate",
+                                         "Proxy-Authorization",
+                                         "TE",
+                                         "Trailer",
+                                         "Transfer-Encoding",
+                                         "Upgrade"};
+  const bool fixed =
+      std::any_of(std::begin(always), std::end(always),
+                  [name](std::string_view one) { return equal_ignoring_case(one, name); });
+  return fixed || std::any_of(headers.begin(), headers.end(), [name](const http_header& header) {
+           return equal_ignoring_case(header.name, "Connection") && has_token(header.value, name);
+         });
+}
+
+std::string_view path_of(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+std::string query_value(std::string_view target, std::string_view name) {
+  const std::size_t mark = target.find('?');
+  std::string_view query =
+      mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
+  while (!query.empty()) {
+    const std::size_t end = query.find('&');
+    const std::string_view pair = query.substr(0, end);
+    const std::size_t equals = pair.find('=');
+    if (pair.substr(0, equals) == name) {
+      return equals == std::string_view::npos ? "" : std::string(pair.substr(equals + 1));
+    }
+    query = end == std::string_view::npos ? std::string_view() : query.substr(end + 1);
+  }
+  return "";
+}
+
+void start_message(http_parser& parser, message_side side) {
+  parser.side = side;
+  parser.head = message_head{};
+  parser.head_done = false;
+  parser.ended = false;
+  parser.left = 0;
+  parser.chunks = chunked_body{};
+  parser.body.clear();
+  parser.problem.clear();
+}
+
+parse_progress parse_input(http_parser& parser, evbuffer* input) {
+  if (!parser.head_done) {
+    const parse_progress head = parse_head(parser, input);
+    if (head != parse_progress::incomplete || !parser.head_done) {
+      return head;
+    }
+  }
+  const std::size_t available = evbuffer_get_length(input);
+  if (!parser.ended && available > 0) {
+    switch (parser.head.framing) {
+      case body_framing::none:
+        break;
+      case body_framing::length:
+        read_length_body(parser, input, available);
+        break;
+      case body_framing::chunked:
+        return read_chunked_body(parser, input);
+      case body_framing::until_close: {
+        const std::size_t before = parser.body.size();
+        parser.body.resize(before + available);
+        evbuffer_remove(input, parser.body.data() + before, available);
+        break;
+      }
+    }
+  }
+  return parser.ended ? parse_progress::complete : parse_progress::incomplete;
+}
+
+bool finish_at_close(http_parser& parser) {
+  if (parser.head_done && parser.head.framing == body_framing::until_close) {
+    parser.ended = true;
+  }
+  return parser.ended;
+}
+
+std::string read_head(std::string_view text, message_side side, message_head& head) {
+  field_counts counts;
+  bool first = true;
+  while (text.size() > 2) {
+    const std::size_t end = text.find("\r\n");
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(end + 2);
+    if (has_control_character(line)) {
+      return "control character";
+    }
+    std::string problem =
+        first ? read_start_line(line, side, head) : read_field(line, head, counts);
+    first = false;
+    if (!problem.empty()) {
+      return problem;
+    }
+  }
+  if (counts.lengths + counts.codings > 1 || (counts.codings > 0 && head.minor_version == 0)) {
+    return "doubled length";
+  }
+  if (side == message_side::request && counts.hosts != 1) {
+    return "host";
+  }
+  return "";
+}
+
+std::string_view reason_phrase(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
+}  // namespace peridot
--- a/net/mesh.cc
+++ b/net/mesh.cc
@@ -16,6 +16,8 @@
 constexpr int reconnect_ms = 100;
 constexpr int reconnect_max_ms = 2'000;
 constexpr int connect_timeout_ms = 2'000;
+constexpr int heartbeat_ms = 1'000;  // finds connections that fell silent
+constexpr int heartbeat_timeout_ms = 2'500;
 constexpr int max_send_attempts = 10;  // of one message, when signals interrupt
 constexpr int max_sockets = static_cast<int>(max_peers) + 16;  // the library's own limit is 1023
 constexpr std::size_t max_remembered_senders = 4 * max_peers;
@@ -41,6 +43,8 @@
     socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
     socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
     socket.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
+    socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_ms);
+    socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
     socket.connect("tcp://" + address.value);
   } catch (const zmq::error_t& error) {
     log_line(log_part::mesh, log_level::warn,
@@ -146,7 +150,7 @@
   return peers;
 }
 
-void send_message(mesh& peers, const outgoing_message& message, std::uint64_t event_sequence) {
+void send_message(mesh& peers, const outgoing_message& message) {
   mesh_peer* peer = connect_peer(peers, message.to);
   if (peer == nullptr) {
     ++peers.counters.not_sent;
@@ -160,7 +164,7 @@
   complete.set_to_incarnation(message.to_incarnation);
   complete.set_sequence(++peers.sequence);
   complete.set_from_name(peers.options.name);
-  complete.set_event_sequence(event_sequence);
+
   wire::sealed_message sealed;
   complete.SerializeToString(sealed.mutable_payload());
   sealed.set_mac(make_mac(peers.options.fleet_key, sealed.payload()));
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -8,7 +8,7 @@
 // connected: the decision logic sends again what matters.
 //
 //   leaf::result<std::unique_ptr<mesh>> peers = start_mesh(base, options, on_message);
-//   send_message(*peers, outgoing, event_sequence);
+//   send_message(*peers, outgoing);
 //
 // Budget: `max_peers` connections and `max_message_bytes` a message. One call of
 // receive_messages() reads at most `max_messages_at_once` and leaves the rest to
@@ -80,7 +80,7 @@
 leaf::result<std::unique_ptr<mesh>> start_mesh(event_base* base, const mesh_options& options,
                                                message_handler handler);
 
-void send_message(mesh& peers, const outgoing_message& message, std::uint64_t event_sequence);
+void send_message(mesh& peers, const outgoing_message& message);
 
 // Reads what has arrived. Also called by the loop. Without effect from within the
 // handler: the outer call goes on reading.
--- a/net/metrics.cc
+++ b/net/metrics.cc
@@ -33,6 +33,10 @@
   distribution.sum_seconds += seconds;
 }
 
+void note_outcome(metrics& values, const std::string& outcome, const std::string& reason) {
+  ++values.ended[{outcome, reason}];
+}
+
 std::string to_exposition(const metrics& values, const std::vector<gauge>& gauges) {
   std::ostringstream out;
   write_distribution(out, "peridot_queue_wait_seconds", "From arrival to dispatch.",
@@ -45,15 +49,11 @@
                      values.whole_answer);
   write_counter_head(out, "peridot_answered_total", "Calls answered whole.");
   out << "peridot_answered_total " << values.answered << "\n";
-  write_counter_head(out, "peridot_refused_total", "Calls refused or failed, by reason.");
-  for (const std::pair<const refusal, std::uint64_t>& entry : values.refused) {
-    out << "peridot_refused_total{reason=\"" << to_text(entry.first) << "\"} " << entry.second
-        << "\n";
-  }
-  write_counter_head(out, "peridot_not_done_total", "Calls that were not done, by outcome.");
-  for (const std::pair<const outcome, std::uint64_t>& entry : values.not_done) {
-    out << "peridot_not_done_total{outcome=\"" << to_text(entry.first) << "\"} " << entry.second
-        << "\n";
+  write_counter_head(out, "peridot_calls_ended_total", "Calls that ended, by outcome and reason.");
+  for (const std::pair<const std::pair<std::string, std::string>, std::uint64_t>& entry :
+       values.ended) {
+    out << "peridot_calls_ended_total{outcome=\"" << entry.first.first << "\",reason=\""
+        << entry.first.second << "\"} " << entry.second << "\n";
   }
   write_counter_head(out, "peridot_retried_total", "Runs that were tried again.");
   out << "peridot_retried_total " << values.retried << "\n";
--- a/net/metrics.h
+++ b/net/metrics.h
@@ -16,6 +16,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "core/types.h"
 
@@ -38,13 +40,16 @@
   time_distribution between_chunks;  // of one streamed answer
   time_distribution whole_answer;    // from arrival to the end
   std::uint64_t answered = 0;
-  std::map<refusal, std::uint64_t> refused;   // by reason
-  std::map<outcome, std::uint64_t> not_done;  // by outcome
+  std::map<std::pair<std::string, std::string>, std::uint64_t> ended;  // by outcome and reason
   std::uint64_t retried = 0;
+  std::uint64_t retries_denied = 0;  // by the budget
   std::uint64_t cut_answers = 0;
   std::uint64_t callers_gone = 0;
 };
 
+// Counts a call's end.
+void note_outcome(metrics& values, const std::string& outcome, const std::string& reason);
+
 // One more value that is read at the time of the request.
 struct gauge {
   std::string name;
--- a/net/pages.cc
+++ b/net/pages.cc
@@ -1,9 +1,11 @@
-// Pages for balancers and operators: health, readiness, status, time line,
-// metrics.
+// Pages for the balancer and for operators: readiness, status, metrics.
 
-#include <utility>
+#include <algorithm>
 
-#include "net/process_internal.h"
+#include "net/http_message.h"
+#include "net/log.h"
+#include "net/router_state.h"
+#include "platform/wire_headers.h"
 
 namespace peridot {
 namespace {
@@ -14,60 +16,118 @@
   return static_cast<double>(value);
 }
 
-std::vector<gauge> gauges(const router_process& process) {
-  const router_core& core = process.core;
-  const mesh_counters& mesh = process.peers->counters;
+std::vector<gauge> gauges(const router_state& router) {
+  const mesh_counters& mesh = router.peers->counters;
+  const instant now = current_time();
   return {
       {"peridot_config_version", "Version in force.",
-       as_number(core.config == nullptr ? 0 : core.config->version)},
-      {"peridot_queued_requests", "Requests that wait for a target.", as_number(core.entry.queued)},
-      {"peridot_requests", "Requests that wait or run.", as_number(core.entry.requests.size())},
-      {"peridot_connections", "Open connections of callers.",
-       as_number(process.server->connections)},
-      {"peridot_owned_shards", "Shards this router schedules.", as_number(core.own_shards.size())},
-      {"peridot_outstanding_grants", "Grants that have not been finished.",
-       as_number(core.scheduler.grants.size())},
-      {"peridot_used_keys", "Idempotency keys remembered.", as_number(core.keys.used.size())},
+       as_number(router.store.config == nullptr ? 0 : router.store.config->version)},
+      {"peridot_calls", "Calls in progress.", as_number(router.calls.size())},
+      {"peridot_caller_connections", "Open connections of callers.",
+       as_number(router.callers->open.size())},
+      {"peridot_target_connections", "Open connections to targets.",
+       as_number(router.targets.all.size())},
+      {"peridot_target_connections_opened_total", "Connections opened to targets.",
+       as_number(router.targets.connections_opened), true},
+      {"peridot_target_connections_reused_total", "Calls on a connection that was open.",
+       as_number(router.targets.connections_reused), true},
+      {"peridot_answers_skipped_total", "Answers to an earlier call.",
+       as_number(router.targets.answers_skipped), true},
+      {"peridot_requests_rejected_total", "Requests that could not be read.",
+       as_number(router.callers->rejected), true},
+      {"peridot_live_peers", "Routers heard from lately.",
+       as_number(live_peers(router.members, now).size())},
+      {"peridot_targets", "Targets in the table.", as_number(router.store.targets.targets.size())},
+      {"peridot_store_calls_total", "Calls to the store.", as_number(router.store_reader.calls),
+       true},
+      {"peridot_store_failures_total", "Calls to the store that failed.",
+       as_number(router.store_reader.failures), true},
+      {"peridot_documents_refused_total", "Documents of the store that could not be read.",
+       as_number(router.store.refused_documents), true},
+      {"peridot_retries_denied_total", "Further sends that the budget did not allow.",
+       as_number(router.counts.retries_denied), true},
       {"peridot_peer_messages_sent_total", "Messages to peers.", as_number(mesh.sent), true},
       {"peridot_peer_bytes_sent_total", "Bytes to peers.", as_number(mesh.sent_bytes), true},
       {"peridot_peer_messages_received_total", "Messages from peers.", as_number(mesh.received),
        true},
-      {"peridot_peer_bytes_received_total", "Bytes from peers.", as_number(mesh.received_bytes),
-       true},
       {"peridot_peer_messages_refused_total", "Messages that failed a check.",
        as_number(mesh.bad_seal + mesh.malformed + mesh.wrong_version + mesh.misaddressed +
                  mesh.repeated),
        true},
-      {"peridot_peer_messages_malformed_total", "Messages of peers with impossible contents.",
-       as_number(core.malformed_messages), true},
-      {"peridot_peer_messages_not_sent_total", "Messages without a connection.",
-       as_number(mesh.not_sent), true},
-      {"peridot_service_calls_total", "Calls to the platform's service.",
-       as_number(process.config_watch.calls + process.list_watch.calls), true},
+      {"peridot_log_lines_dropped_total", "Log lines that did not fit their budget.",
+       as_number(dropped_log_lines()), true},
   };
 }
 
+std::string target_line(const router_state& router, const target_state& target, instant now) {
+  auto load = router.loads.targets.find(target.entry.name);
+  const bool known = load != router.loads.targets.end();
+  const double cold_ms = std::max(0.0, to_ms(target.cold_until - now));
+  return "target=" + target.entry.name.value + " address=" + target.entry.address +
+         " pool=" + target.entry.pool.value + " domain=" + target.entry.domain.value +
+         " leaving=" + (target.leaving ? "1" : "0") + " lapsed=" + (target.lapsed ? "1" : "0") +
+         " cold_ms=" + std::to_string(static_cast<std::int64_t>(cold_ms)) +
+         " avoided=" + (is_avoided(router.health, target.entry.name, now) ? "1" : "0") +
+         " failure_mean=" + std::to_string(failure_mean(router.health, target.entry.name)) +
+         " running=" + std::to_string(known ? running_at(load->second, now) : 0) + " unread=" +
+         std::to_string(known ? static_cast<std::int64_t>(unread_at(load->second, now)) : 0) +
+         " read_rate=" + std::to_string(known ? read_rate_of(router.loads, load->second) : 0) +
+         " revision=" + std::to_string(target.entry.revision) + "\n";
+}
+
+std::string status_text(const router_state& router) {
+  const instant now = current_time();
+  std::string text =
+      "router=" + router.settings.name + " domain=" + router.settings.domain.value +
+      " incarnation=" + std::to_string(router.self.incarnation) +
+      " ready=" + (router.ready ? "1" : "0") + " stopping=" + (router.stopping ? "1" : "0") +
+      " calls=" + std::to_string(router.calls.size()) +
+      " store_disturbed=" + (router.store.disturbed ? "1" : "0") + " config=" +
+      std::to_string(router.store.config == nullptr ? 0 : router.store.config->version) + "\n";
+  for (const domain_name& domain : router.store.targets.evacuated) {
+    text += "evacuated=" + domain.value + "\n";
+  }
+  for (const std::pair<const target_name, target_state>& entry : router.store.targets.targets) {
+    text += target_line(router, entry.second, now);
+  }
+  for (const std::pair<const router_address, peer_row>& entry : router.members.peers) {
+    text += "peer=" + entry.first.value + " domain=" + entry.second.domain.value +
+            " alive=" + (is_alive(entry.second, now) ? "1" : "0") +
+            " leaving=" + (entry.second.leaving ? "1" : "0") +
+            " incarnation=" + std::to_string(entry.second.incarnation) + "\n";
+  }
+  for (const std::pair<const organisation_name, token_window>& entry : router.shares.own) {
+    text += "organisation=" + entry.first.value +
+            " asked_tokens=" + std::to_string(static_cast<std::int64_t>(entry.second.asked_sum)) +
+            " served_tokens=" + std::to_string(static_cast<std::int64_t>(entry.second.served_sum)) +
+            " share_position=" + std::to_string(share_position(router.shares, entry.first)) + "\n";
+  }
+  return text;
+}
+
 }  // namespace
 
-bool handle_page(router_process& process, const std::shared_ptr<server_exchange>& exchange) {
-  const std::string& path = exchange->path;
-  if (path == "/health") {
-    reply(*exchange, 200, plain_text, "alive\n");
-  } else if (path == "/ready") {
-    const bool ready = is_ready(process.core);
-    const char* text = process.core.stopping ? "leaving\n" : ready ? "ready\n" : "not ready\n";
-    reply(*exchange, ready ? 200 : 503, plain_text, text);
-  } else if (path == "/status") {
-    reply(*exchange, 200, plain_text, status_text(process.core, current_time()));
-  } else if (path == "/timeline") {
-    reply(*exchange, 200, plain_text, to_lines(process.core.events));
+void handle_readiness(router_state& router, const std::shared_ptr<http_exchange>& exchange) {
+  if (!platform::is_readiness_path(path_of(exchange->head.target))) {
+    reply(*exchange, 404, plain_text, "no such page\n");
+    return;
+  }
+  const bool ready = router.ready && !router.stopping;
+  reply(*exchange, ready ? 200 : 503, plain_text,
+        ready ? "ready\n" : (router.stopping ? "leaving\n" : "not ready\n"));
+}
+
+void handle_page(router_state& router, const std::shared_ptr<http_exchange>& exchange) {
+  const std::string_view path = path_of(exchange->head.target);
+  if (path == "/status") {
+    reply(*exchange, 200, plain_text, status_text(router));
   } else if (path == "/metrics") {
-    reply(*exchange, 200, {{"Content-Type", "text/plain; version=0.0.4"}},
-          to_exposition(process.counts, gauges(process)));
+    reply(*exchange, 200, plain_text, to_exposition(router.counts, gauges(router)));
+  } else if (path == "/health") {
+    reply(*exchange, 200, plain_text, "ok\n");
   } else {
-    return false;
+    reply(*exchange, 404, plain_text, "no such page\n");
   }
-  return true;
 }
 
 }  // namespace peridot
--- /dev/null
+++ b/net/peer_exchange.cc
@@ -0,0 +1,234 @@
+// Gossip between routers, and the store's items for those whom the store turns away.
+
+#include <algorithm>
+
+#include "core/peer_messages.h"
+#include "net/log.h"
+#include "net/router_state.h"
+
+namespace peridot {
+namespace {
+
+// A peer's store must be ahead for this long before its items are asked for: the
+// own watch usually brings them sooner. A quarter of the platform's bound.
+constexpr milliseconds ahead_before_asking{500};
+constexpr std::size_t max_peers_told = 64;
+constexpr std::size_t max_crashes_told = 64;
+constexpr std::size_t max_organisations_told = 256;
+
+std::uint32_t target_hash(const target_name& target) {
+  return static_cast<std::uint32_t>(stable_hash(target.value));
+}
+
+void index_targets(router_state& router) {
+  if (router.hashed_generation == router.store.targets.generation) {
+    return;
+  }
+  router.hashed_generation = router.store.targets.generation;
+  router.target_by_hash.clear();
+  for (const std::pair<const target_name, target_state>& entry : router.store.targets.targets) {
+    router.target_by_hash[target_hash(entry.first)] = entry.first;
+  }
+}
+
+void add_loads(router_state& router, wire::gossip& gossip) {
+  for (std::pair<const target_name, target_load>& entry : router.loads.targets) {
+    target_load& load = entry.second;
+    if (load.running == 0 && load.new_tokens_read < 1) {
+      continue;
+    }
+    wire::target_use& use = *gossip.add_targets();
+    use.set_target(target_hash(entry.first));
+    use.set_running(static_cast<std::uint32_t>(load.running));
+    use.set_unread_tokens(static_cast<std::uint32_t>(load.unread));
+    use.set_tokens_read(static_cast<std::uint32_t>(load.new_tokens_read));
+    for (std::uint32_t prefix : load.new_prefixes) {
+      use.add_read_prefixes(prefix);
+    }
+    load.new_prefixes.clear();
+    load.new_tokens_read = 0;
+  }
+}
+
+void add_organisations(const router_state& router, wire::gossip& gossip) {
+  for (const std::pair<const organisation_name, token_window>& entry : router.shares.own) {
+    if (gossip.organisations_size() >= static_cast<int>(max_organisations_told)) {
+      return;
+    }
+    wire::organisation_use& use = *gossip.add_organisations();
+    use.set_organisation(stable_hash(entry.first.value));
+    use.set_asked_tokens(static_cast<std::uint32_t>(std::max(0.0, entry.second.asked_sum)));
+    use.set_served_tokens(static_cast<std::uint32_t>(std::max(0.0, entry.second.served_sum)));
+  }
+}
+
+void add_crashes(const router_state& router, wire::gossip& gossip) {
+  for (const std::pair<const std::uint64_t, suspect>& entry : router.suspects.suspects) {
+    if (entry.second.own_crashes > 0 &&
+        gossip.crashes_size() < static_cast<int>(max_crashes_told)) {
+      wire::crash_report& report = *gossip.add_crashes();
+      report.set_fingerprint(entry.first);
+      report.set_crashes(static_cast<std::uint32_t>(entry.second.own_crashes));
+    }
+  }
+}
+
+void take_loads(router_state& router, const router_address& from, const wire::gossip& gossip,
+                instant now) {
+  index_targets(router);
+  for (const wire::target_use& use : gossip.targets()) {
+    auto found = router.target_by_hash.find(use.target());
+    if (found == router.target_by_hash.end()) {
+      continue;
+    }
+    const std::vector<std::uint32_t> prefixes(use.read_prefixes().begin(),
+                                              use.read_prefixes().end());
+    note_peer_load(router.loads, from, found->second, static_cast<int>(use.running()),
+                   use.unread_tokens(), prefixes, use.tokens_read(), now);
+  }
+}
+
+// Asks the peer for items if its store has been ahead of ours for a while, or at
+// once while nothing is known.
+void ask_if_behind(router_state& router, const router_address& peer, const wire::gossip& gossip,
+                   instant now) {
+  const platform::store_state& store = router.store;
+  const bool behind = gossip.operator_revision() > store.newest_operator_revision ||
+                      gossip.target_revision() > store.newest_target_revision;
+  if (!behind) {
+    router.behind_since.erase(peer);
+    return;
+  }
+  const bool known = platform::is_known(store);
+  const instant since = router.behind_since.try_emplace(peer, now).first->second;
+  if (known && now - since < ahead_before_asking) {
+    return;
+  }
+  router.behind_since[peer] = now;
+  outgoing_message message;
+  message.to = peer;
+  message.message.mutable_items_request()->set_after_revision(
+      std::min(store.newest_operator_revision, store.newest_target_revision));
+  send_message(*router.peers, message);
+}
+
+void on_gossip(router_state& router, const router_identity& from, const wire::gossip& gossip) {
+  const instant now = current_time();
+  std::vector<router_address> knows;
+  for (const std::string& address : gossip.peers()) {
+    knows.push_back(router_address{address});
+  }
+  if (on_peer(router.members, from, knows, gossip.leaving(), domain_name{gossip.domain()}, now)) {
+    log_line(log_part::mesh, log_level::info,
+             "Peer heard. peer=" + from.address.value + " domain=" + gossip.domain() +
+                 " incarnation=" + std::to_string(from.incarnation));
+  }
+  take_loads(router, from.address, gossip, now);
+  std::map<std::uint64_t, peer_tokens> tokens;
+  for (const wire::organisation_use& use : gossip.organisations()) {
+    tokens[use.organisation()] = {static_cast<double>(use.asked_tokens()),
+                                  static_cast<double>(use.served_tokens())};
+  }
+  set_peer_tokens(router.shares, from.address, std::move(tokens), now);
+  for (const wire::crash_report& report : gossip.crashes()) {
+    note_peer_crashes(router.suspects, report.fingerprint(), from.address,
+                      static_cast<int>(report.crashes()), now);
+  }
+  ask_if_behind(router, from.address, gossip, now);
+}
+
+void on_items_request(router_state& router, const router_identity& from,
+                      const wire::items_request& request) {
+  bool complete = false;
+  const std::vector<platform::store_item> items =
+      platform::items_after(router.store, request.after_revision(), complete);
+  complete = complete && router.store.complete_prefixes.contains(platform::operator_prefix) &&
+             router.store.complete_prefixes.contains(platform::target_prefix);
+  outgoing_message message;
+  message.to = from.address;
+  message.to_incarnation = from.incarnation;
+  wire::items_reply& reply = *message.message.mutable_items_reply();
+  reply.set_as_of(
+      std::min(router.store.newest_operator_revision, router.store.newest_target_revision));
+  reply.set_store_disturbed(
+      platform::is_disturbed(router.store, router.settings.store_touch, current_time()));
+  reply.set_complete(complete);
+  for (const platform::store_item& item : items) {
+    wire::stored_item& out = *reply.add_items();
+    out.set_key(item.key);
+    out.set_value(item.value);
+    out.set_revision(item.revision);
+    out.set_removed(item.removed);
+  }
+  send_message(*router.peers, message);
+}
+
+void on_items_reply(router_state& router, const router_identity& from,
+                    const wire::items_reply& reply) {
+  const instant now = current_time();
+  const platform::item_source source =
+      reply.store_disturbed() ? platform::item_source::disturbed_peer : platform::item_source::peer;
+  std::vector<platform::store_item> items;
+  std::set<std::string> present;
+  for (const wire::stored_item& item : reply.items()) {
+    items.push_back({item.key(), item.value(), item.revision(), item.removed()});
+    present.insert(item.key());
+  }
+  log_line(log_part::config, log_level::info,
+           "Items from a peer. peer=" + from.address.value + " items=" +
+               std::to_string(items.size()) + " as_of=" + std::to_string(reply.as_of()) +
+               " complete=" + (reply.complete() ? "1" : "0"));
+  platform::apply_items(router.store, items, source, now);
+  if (reply.complete()) {
+    for (const char* prefix : {platform::operator_prefix, platform::target_prefix}) {
+      platform::apply_absences(router.store, prefix, present, reply.as_of(), source, now);
+    }
+  }
+  if (router.store_reader.on_change) {
+    router.store_reader.on_change();
+  }
+}
+
+}  // namespace
+
+void send_gossip(router_state& router) {
+  const instant now = current_time();
+  expire_peers(router.members, now);
+  outgoing_message message;
+  wire::gossip& gossip = *message.message.mutable_gossip();
+  gossip.set_domain(router.settings.domain.value);
+  gossip.set_leaving(router.stopping);
+  gossip.set_operator_revision(router.store.newest_operator_revision);
+  gossip.set_target_revision(router.store.newest_target_revision);
+  for (const router_address& peer : live_peers(router.members, now)) {
+    if (gossip.peers_size() < static_cast<int>(max_peers_told)) {
+      gossip.add_peers(peer.value);
+    }
+  }
+  add_loads(router, gossip);
+  add_organisations(router, gossip);
+  add_crashes(router, gossip);
+  for (const router_address& peer : gossip_peers(router.members, now)) {
+    message.to = peer;
+    send_message(*router.peers, message);
+  }
+}
+
+void on_peer_message(router_state& router, const router_identity& from,
+                     const wire::peer_message& message) {
+  switch (message.body_case()) {
+    case wire::peer_message::kGossip:
+      on_gossip(router, from, message.gossip());
+      break;
+    case wire::peer_message::kItemsRequest:
+      on_items_request(router, from, message.items_request());
+      break;
+    case wire::peer_message::kItemsReply:
+      on_items_reply(router, from, message.items_reply());
+      break;
+    case wire::peer_message::BODY_NOT_SET:
+      break;
+  }
+}
+
+}  // namespace peridot
--- a/net/router_process.h
+++ b/net/router_process.h
@@ -1,20 +1,21 @@
-// The router process: the event loop around the decision logic.
+// One router process: the loop around the decisions of core/ and the adapter.
 //
-// Reads what arrives (callers, peers, the platform's service, targets), passes
-// it to core/router.h with the time, and carries out what that decides. It makes
-// no decision about requests, rights or configuration itself.
+//   return run_router(settings, settings_path);
 //
-//   int status = run_router(settings);   // returns after a graceful shutdown
+// TERM begins a graceful shutdown: the readiness answer turns to 503, answers
+// announce the end of their connections, and the process ends when its calls have,
+// or shortly before the platform would kill it. HUP reads the settings again.
 //
-// docs/API.md describes the callers' and operators' interface.
-// Thread safety: one loop on one thread.
+// Thread safety: run_router() owns the process; call it once.
 #pragma once
 
+#include <string>
+
 #include "core/settings.h"
 
 namespace peridot {
 
-// Exit status: 0 after a graceful shutdown, 1 if an address cannot be bound.
-int run_router(const router_settings& settings);
+// Runs until stopped; the exit status.
+int run_router(const router_settings& settings, const std::string& settings_path);
 
 }  // namespace peridot
--- /dev/null
+++ b/net/router_state.h
@@ -0,0 +1,161 @@
+// What one router process holds: its tables, its sockets, the calls in progress.
+//
+// Internal to net/. The tables belong to core/ and platform/; net/call_relay.cc moves
+// calls, net/peer_exchange.cc exchanges gossip, net/pages.cc answers operators,
+// net/router_process.cc starts and stops.
+// Thread safety: none; one loop.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/call.h"
+#include "core/cold_gate.h"
+#include "core/event_stream.h"
+#include "core/fair_share.h"
+#include "core/membership.h"
+#include "core/placement.h"
+#include "core/published.h"
+#include "core/retry_budget.h"
+#include "core/settings.h"
+#include "core/suspects.h"
+#include "core/target_health.h"
+#include "net/http_client.h"
+#include "net/http_listener.h"
+#include "net/loop.h"
+#include "net/mesh.h"
+#include "net/metrics.h"
+#include "platform/store_client.h"
+#include "platform/store_state.h"
+
+namespace peridot {
+
+struct router_state;
+
+// One send of a call to a target.
+struct attempt {
+  target_name target;
+  pool_name pool;
+  std::string address;
+  std::shared_ptr<client_call> call;
+  call_cost cost;
+  instant sent_at{};
+  bool head_seen = false;
+  bool first_token_seen = false;
+  message_head head;
+  std::string body;      // of an answer that is passed on whole
+  bool passing = false;  // the answer is being passed on in parts
+  bool is_stream = false;
+  event_splitter events;
+  bool counted = false;  // its result was noted
+};
+
+// A call from its arrival to its final answer.
+struct live_call {
+  router_state* router = nullptr;
+  std::uint64_t number = 0;
+  std::shared_ptr<http_exchange> exchange;
+  call_request request;
+  std::shared_ptr<const fleet_config> config;  // in force when it arrived
+  const route* way = nullptr;                  // of `config`
+  organisation_name caller;
+  int priority = 0;
+  std::uint64_t fingerprint = 0;
+  instant arrived{};
+  instant give_up_at{};  // the caller's time or the route's is over
+  instant caller_leaves_at{};
+  std::unique_ptr<attempt> current;  // null while it is not at a target
+  int sends = 0;                     // to targets, connections that were refused not counted
+  int tries = 0;                     // including those
+  std::vector<target_name> tried;
+  bool may_have_run = false;
+  bool answering = false;                   // bytes of an answer went to the caller
+  std::optional<std::uint64_t> last_event;  // that the caller has got
+  int events_passed = 0;
+  double predicted_ms = 0;
+  double position = 0;  // of its organisation's share
+  instant first_answer{};
+  instant last_progress{};
+  event_ptr give_up_timer;
+  event_ptr silence_timer;
+  bool reading_paused = false;
+};
+
+// A broken answer that may have been a crash of the target.
+struct broken_run {
+  target_name target;
+  std::uint64_t fingerprint = 0;
+  instant at{};
+};
+
+struct pool_state {
+  retry_budget budget;
+  double failure_mean = 0;  // share of failures among its targets' answers
+};
+
+struct router_state {
+  router_settings settings;
+  std::string settings_path;
+  event_base_ptr base;
+  router_identity self;
+
+  platform::store_state store;
+  platform::store_client store_reader;
+  http_client targets;  // connections to targets
+
+  std::unique_ptr<http_listener> callers;
+  std::unique_ptr<http_listener> readiness;
+  std::unique_ptr<http_listener> control;
+  std::unique_ptr<http_listener> metrics_page;
+  std::unique_ptr<mesh> peers;
+
+  membership_table members;
+  load_table loads;
+  health_table health;
+  cold_gate cold;
+  share_table shares;
+  suspect_table suspects;
+  std::map<pool_name, pool_state> pools;
+  std::vector<broken_run> broken_runs;
+  std::unordered_map<std::uint32_t, target_name> target_by_hash;
+  std::uint64_t hashed_generation = 0;
+  std::uint64_t cleaned_generation = 0;
+  std::map<router_address, instant> behind_since;  // peers whose store is ahead of ours
+
+  std::unordered_map<std::uint64_t, std::unique_ptr<live_call>> calls;
+  metrics counts;
+  std::minstd_rand random;
+  instant started{};
+
+  bool ready = false;
+  bool stopping = false;
+  bool refusing = false;  // late in the shutdown: new calls are refused
+  instant stop_began{};
+  std::function<void()> on_gossip;
+  std::function<void()> on_tick;
+  event_ptr gossip_timer;
+  event_ptr tick_timer;
+  event_ptr term_signal;
+  event_ptr hup_signal;
+  int exit_status = 0;
+};
+
+instant current_time();
+
+// call_relay.cc
+void handle_call(router_state& router, const std::shared_ptr<http_exchange>& exchange);
+
+// peer_exchange.cc
+void send_gossip(router_state& router);
+void on_peer_message(router_state& router, const router_identity& from,
+                     const wire::peer_message& message);
+
+// pages.cc
+void handle_readiness(router_state& router, const std::shared_ptr<http_exchange>& exchange);
+void handle_page(router_state& router, const std::shared_ptr<http_exchange>& exchange);
+
+}  // namespace peridot
--- a/tools/peridot_router_main.cc
+++ b/tools/peridot_router_main.cc
@@ -23,7 +23,8 @@
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
       "Runs one router of the fleet.\n\n  peridot_router --settings=router.toml\n\n"
-      "TERM begins a graceful shutdown; the exit status is 0 if all work has ended.");
+      "TERM begins a graceful shutdown; the exit status is 0 if all work has ended.\nHUP reads the "
+      "settings again.");
   absl::FlagsUsageConfig usage;
   usage.version_string = []() { return std::string("peridot_router 0.1.0\n"); };
   absl::SetFlagsUsageConfig(usage);
@@ -40,5 +41,5 @@
   if (!loaded.errors.empty()) {
     return exit_usage;
   }
-  return peridot::run_router(loaded.settings);
+  return peridot::run_router(loaded.settings, path);
 }
