--- a/core/published.cc
+++ b/core/published.cc
@@ -109,7 +109,7 @@
   const std::size_t erased =
       std::erase_if(table.targets, [&](const std::pair<const target_name, target_state>& item) {
         return item.second.lapsed &&
-               now >= std::max(store_back, item.second.lapsed_at) + lapse_grace;
+               now >= std::max(store_back + lapse_grace, item.second.lapsed_at + removal_grace);
       });
   table.generation += erased;
 }
--- a/core/published.h
+++ b/core/published.h
@@ -133,6 +133,10 @@
 // used after the store's return. From the platform: entries are back within about 2 s.
 inline constexpr milliseconds lapse_grace{2'200};
 
+// The same, counted from the removal: one that was seen well after the store's return
+// did not lapse while it was away. Half the platform's bound for leaving targets.
+inline constexpr milliseconds removal_grace{1'000};
+
 // Takes over an entry. A target that starts again under its name is cold for its
 // pool's whole cold time, and no longer leaving.
 void on_target_entry(target_table& table, const fleet_config* config, const target_entry& entry,
@@ -143,7 +147,8 @@
 void on_target_removed(target_table& table, const target_name& name, bool store_disturbed,
                        instant now);
 
-// Drops lapsed targets whose grace has ended. `disturbed`: the store is still away.
+// Drops lapsed targets lapse_grace after the store's return, and no sooner than
+// removal_grace after their removal. `disturbed`: the store is still away.
 void expire_lapsed(target_table& table, bool disturbed, instant store_back, instant now);
 
 // An evacuation ended: the failure domain's targets may be cold.
--- a/net/router_process.cc
+++ b/net/router_process.cc
@@ -15,9 +15,9 @@
 // From TERM: the balancer sends no new connections after two missed questions, one a
 // second; the rest is for callers that reuse connections.
 constexpr milliseconds close_idle_after{2'600};
-constexpr milliseconds refuse_after{3'300};
-constexpr milliseconds exit_margin{400};  // before the platform would kill the process
-constexpr std::size_t max_pages = 32;     // connections of operators and the balancer
+constexpr milliseconds refuse_after{2'800};  // what is taken later might not end in time
+constexpr milliseconds exit_margin{400};     // before the platform would kill the process
+constexpr std::size_t max_pages = 32;        // connections of operators and the balancer
 
 std::uint64_t random_incarnation() {
   std::random_device source;
