Send calls where their prompt's parts are kept, up to a wait of 0.7 of the aim

The cost of a wait was linear, so small differences of load outweighed reading again; and the model held the memory of running calls to be twice what it is. Ruled out: a wrong model of the engines' memory (7.08 M tokens by the model, 7.05 M read).

--- a/core/placement.cc
+++ b/core/placement.cc
@@ -8,13 +8,19 @@
 namespace peridot {
 namespace {
 
-constexpr double reread_weight = 0.7;          // reading again also delays the calls behind
-constexpr double first_meeting = 0.6;          // pull of the engine where a new subject should live
+constexpr double reread_weight = 1.0;          // reading again takes the engine from all others
+constexpr double comfortable_weight = 0.2;     // of a wait that leaves the first token on time
+constexpr double long_wait_weight = 3.0;       // of the rest of a wait
+constexpr double first_meeting = 0.8;          // pull of the engine where a new subject should live
+constexpr double home_pull = 0.1;              // the same once it is kept: replicas are given up
+constexpr double base_memory = 0.05;           // weight of the newest measurement
 constexpr double crowded_part = 0.85;          // of the slots; beyond, tokens come slowly
 constexpr double crowded_ms = 400;             // price of a place beyond that, up to all slots
 constexpr double full_ms = 5'000;              // no free slot: waits for a call to end
 constexpr double rate_memory = 0.08;           // weight of the newest measurement
+constexpr double expected_output = 0.5;        // of the most that may be generated
 constexpr double least_sample_tokens = 2'500;  // shorter waits measure the base, not reading
+constexpr double most_base_ms = 400;
 constexpr double least_rate = 3;
 constexpr double most_rate = 400;
 constexpr double service_memory = 0.1;
@@ -39,19 +45,17 @@
   load.prefix_used_at[prefix] = load.tokens_read;
 }
 
-double engine_cost(const target_load& load, const candidate& where, const placement& choice,
-                   double rate, double unread, double memory_tokens) {
-  double cost = choice.first_token_ms + reread_weight * unread / rate;
-  const double slots = std::max(1, where.slots);
-  const double used = static_cast<double>(choice.running) / slots;
+// `read_ms`: of the part of the prompt that is not kept; `wait_ms`: until the first token.
+double engine_cost(const candidate& where, int running, double read_ms, double wait_ms,
+                   double comfortable_ms) {
+  double cost = reread_weight * read_ms + comfortable_weight * std::min(wait_ms, comfortable_ms) +
+                long_wait_weight * std::max(0.0, wait_ms - comfortable_ms);
+  const double used = static_cast<double>(running) / std::max(1, where.slots);
   if (used >= 1) {
     cost += full_ms;
   } else if (used > crowded_part) {
     cost += crowded_ms * (used - crowded_part) / (1 - crowded_part);
   }
-  if (memory_tokens > 0 && load.memory > memory_tokens * kept_part) {
-    cost += crowded_ms;
-  }
   return cost;
 }
 
@@ -68,6 +72,10 @@
   return what.prefixes.size() >= 2 ? what.prefixes[what.prefixes.size() - 2].tokens : 0;
 }
 
+double base_of(const target_load& load) {
+  return load.base_ms > 0 ? load.base_ms : first_token_base_ms;
+}
+
 const target_load& load_of(const load_table& table, const target_name& name) {
   static const target_load empty;
   auto found = table.targets.find(name);
@@ -92,6 +100,14 @@
   return sum;
 }
 
+double memory_at(const target_load& load, instant now) {
+  double sum = load.memory;
+  for (const std::pair<const router_address, peer_load>& peer : load.peers) {
+    sum += now - peer.second.told_at <= peer_load_life ? peer.second.memory : 0;
+  }
+  return sum;
+}
+
 double read_rate_of(const load_table& table, const target_load& load) {
   if (load.read_rate > 0) {
     return load.read_rate;
@@ -99,8 +115,13 @@
   return table.pool_read_rate > 0 ? table.pool_read_rate : assumed_read_rate;
 }
 
-double kept_tokens(const target_load& load, const prompt& what, double memory_tokens) {
-  const double oldest = load.tokens_read - memory_tokens * kept_part;
+double kept_window(const target_load& load, double memory_tokens, instant now) {
+  const double running = memory_at(load, now);
+  return kept_safety * std::max(memory_tokens * least_kept_part, memory_tokens - running);
+}
+
+double kept_tokens(const target_load& load, const prompt& what, double memory_tokens, instant now) {
+  const double oldest = load.tokens_read - kept_window(load, memory_tokens, now);
   double kept = 0;
   for (const prompt_prefix& prefix : what.prefixes) {
     auto found = load.prefix_used_at.find(short_hash(prefix));
@@ -113,11 +134,12 @@
 }
 
 placement choose_engine(const load_table& table, const std::vector<candidate>& candidates,
-                        const prompt& what, double memory_tokens, instant now) {
+                        const prompt& what, double memory_tokens, duration aim, instant now) {
   placement best;
   double best_cost = 0;
   const std::uint64_t subject = subject_of(what);
   const double shared = shared_tokens(what);
+  const double comfortable_ms = comfortable_part * to_ms(aim);
   const candidate* home = nullptr;  // rendezvous: equal on all routers
   std::uint64_t home_score = 0;
   bool kept_somewhere = false;
@@ -127,22 +149,23 @@
       home = &where;
       home_score = score;
     }
-    kept_somewhere =
-        kept_somewhere || kept_tokens(load_of(table, where.name), what, memory_tokens) >= shared;
+    kept_somewhere = kept_somewhere ||
+                     kept_tokens(load_of(table, where.name), what, memory_tokens, now) >= shared;
   }
   for (const candidate& where : candidates) {
     const target_load& load = load_of(table, where.name);
     const double rate = read_rate_of(table, load);
     placement choice;
     choice.chosen = &where;
-    choice.kept_tokens = kept_tokens(load, what, memory_tokens);
+    choice.kept_tokens = kept_tokens(load, what, memory_tokens, now);
     choice.unread_ahead = unread_at(load, now);
     choice.running = running_at(load, now);
-    const double unread = std::max(0.0, what.tokens_in - choice.kept_tokens);
-    choice.first_token_ms = first_token_base_ms + (choice.unread_ahead + unread) / rate;
-    double cost = engine_cost(load, where, choice, rate, unread, memory_tokens);
-    if (!kept_somewhere && &where == home) {
-      cost -= first_meeting * shared / rate;
+    const double read_ms = std::max(0.0, what.tokens_in - choice.kept_tokens) / rate;
+    choice.first_token_ms = base_of(load) + choice.unread_ahead / rate + read_ms;
+    double cost =
+        engine_cost(where, choice.running, read_ms, choice.first_token_ms, comfortable_ms);
+    if (&where == home) {
+      cost -= (kept_somewhere ? home_pull : first_meeting) * shared / rate;
     }
     if (best.chosen == nullptr || cost < best_cost) {
       best = choice;
@@ -186,8 +209,8 @@
   if (what == nullptr) {
     return cost;
   }
-  cost.unread = std::max(0.0, what->tokens_in - kept_tokens(load, *what, memory_tokens));
-  cost.memory = what->tokens_in + what->tokens_out;
+  cost.unread = std::max(0.0, what->tokens_in - kept_tokens(load, *what, memory_tokens, now));
+  cost.memory = cost.unread + what->tokens_out * expected_output;  // kept parts are shared
   cost.ahead = unread_at(load, now) + cost.unread;
   cost.reading = true;
   load.unread += cost.unread;
@@ -211,8 +234,15 @@
   cost.reading = false;
   target_load& load = found->second;
   load.unread = std::max(0.0, load.unread - cost.unread);
-  const double elapsed = to_ms(now - cost.sent_at) - first_token_base_ms;
-  if (cost.ahead < least_sample_tokens || elapsed <= 1) {
+  if (cost.ahead < least_sample_tokens) {
+    const double sample = to_ms(now - cost.sent_at) - cost.ahead / read_rate_of(table, load);
+    load.base_ms =
+        base_of(load) +
+        base_memory * (std::clamp(sample, first_token_base_ms, most_base_ms) - base_of(load));
+    return;
+  }
+  const double elapsed = to_ms(now - cost.sent_at) - base_of(load);
+  if (elapsed <= 1) {
     return;
   }
   const double sample = std::clamp(cost.ahead / elapsed, least_rate, most_rate);
@@ -255,10 +285,10 @@
 }
 
 void note_peer_load(load_table& table, const router_address& peer, const target_name& target,
-                    int running, double unread, const std::vector<std::uint32_t>& prefixes,
-                    double tokens_read, instant now) {
+                    const peer_load& told, const std::vector<std::uint32_t>& prefixes,
+                    double tokens_read) {
   target_load& load = table.targets[target];
-  load.peers[peer] = {running, unread, now};
+  load.peers[peer] = told;
   load.tokens_read += tokens_read;
   for (std::uint32_t prefix : prefixes) {
     remember_prefix(load, prefix);
--- a/core/placement.h
+++ b/core/placement.h
@@ -11,9 +11,14 @@
 //   note_ended(table, target, cost);
 //   placement choice = choose_engine(table, candidates, prompt, capacity);
 //
+// Waiting for a while costs little as long as the first token is on time, while
+// reading a shared part again takes the engine from everybody: up to a comfortable
+// wait, calls go where their parts are kept; beyond, the wait outweighs.
+//
 // Load patterns answered: long shared prompts over many subjects (each is read by
-// few engines), one hot subject (spills to others once the wait exceeds reading it
-// again), many routers on one stale report (own sends count at once).
+// few engines), many short shared parts (they meet often enough to stay in memory),
+// one hot subject (spills to others once the wait exceeds reading it again), many
+// routers on one stale report (own sends count at once).
 //
 // Invariants: running >= 0, unread >= 0. Thread safety: none; one loop.
 #pragma once
@@ -30,9 +35,10 @@
 
 inline constexpr milliseconds peer_load_life{1'000};  // ten rounds of gossip
 inline constexpr double first_token_base_ms = 25;     // one step and the way there and back
-inline constexpr double assumed_read_rate = 30;       // tokens a ms before any was measured
-inline constexpr double kept_part =
-    0.7;  // of an engine's memory that holds prefixes, not running calls
+inline constexpr double comfortable_part = 0.7;  // of the shortest aim: a wait that costs little
+inline constexpr double assumed_read_rate = 30;  // tokens a ms before any was measured
+inline constexpr double least_kept_part = 0.25;  // of an engine's memory that holds prefixes
+inline constexpr double kept_safety = 0.85;      // evicted sooner than the model says
 
 // What one call adds to its target's load.
 struct call_cost {
@@ -46,6 +52,7 @@
 struct peer_load {
   int running = 0;
   double unread = 0;
+  double memory = 0;
   instant told_at{};
 };
 
@@ -59,6 +66,7 @@
   std::vector<std::uint32_t> new_prefixes;                   // read since the last gossip
   double new_tokens_read = 0;                                // likewise
   double read_rate = 0;                                      // tokens a ms; 0: none measured
+  double base_ms = 0;         // mean time to the first token of short waits; 0: none measured
   double service_ms = 0;      // mean time of a call at a plain target
   int reported_running = -1;  // by the target itself with its newest answer; -1: none
   int reported_waiting = 0;
@@ -86,13 +94,18 @@
 
 int running_at(const target_load& load, instant now);
 double unread_at(const target_load& load, instant now);
+double memory_at(const target_load& load, instant now);
 double read_rate_of(const load_table& table, const target_load& load);
 
+// Tokens that were read since the oldest prefix still in memory, by the model.
+double kept_window(const target_load& load, double memory_tokens, instant now);
+
 // Tokens of the prompt that the target is expected to have in memory.
-double kept_tokens(const target_load& load, const prompt& what, double memory_tokens);
+double kept_tokens(const target_load& load, const prompt& what, double memory_tokens, instant now);
 
+// `aim`: the shortest target latency of the pool's routes.
 placement choose_engine(const load_table& table, const std::vector<candidate>& candidates,
-                        const prompt& what, double memory_tokens, instant now);
+                        const prompt& what, double memory_tokens, duration aim, instant now);
 
 // For targets that read no prompts: least busy by slots, then the own failure domain.
 // `first_token_ms` is the predicted wait for a slot.
@@ -113,8 +126,8 @@
 
 // A peer's calls at the target; `prefixes` and `tokens_read` since its last message.
 void note_peer_load(load_table& table, const router_address& peer, const target_name& target,
-                    int running, double unread, const std::vector<std::uint32_t>& prefixes,
-                    double tokens_read, instant now);
+                    const peer_load& told, const std::vector<std::uint32_t>& prefixes,
+                    double tokens_read);
 
 // The target restarted or is gone: nothing is known of it.
 void forget_load(load_table& table, const target_name& target);
--- a/core/published.cc
+++ b/core/published.cc
@@ -9,8 +9,28 @@
          (what.kind == call_kind::streaming && what.resumable);
 }
 
+namespace {
+
+// The shortest aim of the routes that send prompts to each pool.
+void set_aims(fleet_config& config) {
+  std::set<pool_name> seen;
+  for (const route& way : config.routes) {
+    for (const pool_share& share : way.pools) {
+      auto found = config.pools.find(share.pool);
+      if (!way.carries_prompt || found == config.pools.end()) {
+        continue;
+      }
+      milliseconds& aim = found->second.shortest_aim;
+      aim = seen.insert(share.pool).second ? way.target_latency : std::min(aim, way.target_latency);
+    }
+  }
+}
+
+}  // namespace
+
 std::shared_ptr<const fleet_config> finish_config(fleet_config draft) {
   std::shared_ptr<fleet_config> config = std::make_shared<fleet_config>(std::move(draft));
+  set_aims(*config);
   for (std::size_t index = 0; index < config->routes.size(); ++index) {
     config->routes_by_host[config->routes[index].host].push_back(index);
   }
--- a/net/call_answer.cc
+++ b/net/call_answer.cc
@@ -294,6 +294,12 @@
   return result;
 }
 
+int prompt_tokens(const live_call& call) {
+  return call.request.what_to_read.has_value()
+             ? static_cast<int>(call.request.what_to_read->tokens_in)
+             : 0;
+}
+
 // What a send adds to load, shares and budgets.
 void account_send(live_call& call, const pool& home, const target_state& target, instant now) {
   router_state& router = *call.router;
@@ -332,8 +338,8 @@
   ++call.sends;
   ++call.tries;
   log_line(log_part::http, log_level::info,
-           "Call sent. call=" + call.request.id + " target=" + target.entry.name.value +
-               " send=" + std::to_string(call.sends) +
+           "Call sent. call=" + call.request.id + " target=" + target.entry.name.value + " send=" +
+               std::to_string(call.sends) + " tokens_in=" + std::to_string(prompt_tokens(call)) +
                " predicted_ms=" + std::to_string(static_cast<int>(where.first_token_ms)) +
                " unread_ahead=" + std::to_string(static_cast<int>(where.unread_ahead)) +
                " kept=" + std::to_string(static_cast<int>(where.kept_tokens)) + " running=" +
--- a/net/call_relay.cc
+++ b/net/call_relay.cc
@@ -20,6 +20,7 @@
 constexpr milliseconds target_margin{10};      // the answer's way back to the caller
 constexpr int max_unreachable = 3;             // targets without connection that one call tries
 constexpr double connections_part = 0.85;      // of a target's connections that routers plan for
+constexpr double most_connections_part = 0.5;  // up to which one router may exceed its share
 constexpr double plain_queue_part = 3;         // calls per slot at a plain target, all routers
 constexpr milliseconds crash_window{1'000};    // between a broken answer and a refused connection
 constexpr double pool_failure_memory = 0.02;   // weight of the newest answer in the pool's mean
@@ -183,10 +184,17 @@
       2, static_cast<int>(connections_part * home.max_connections / static_cast<double>(routers)));
 }
 
-bool has_room(const router_state& router, const target_state& target, int share) {
+// The share of each router is a guide: where the others use little, one may use more.
+bool has_room(const router_state& router, const target_state& target, const pool& home, int share,
+              instant now) {
   auto open = router.targets.open_by_address.find(target.entry.address);
-  return open == router.targets.open_by_address.end() || open->second < share ||
-         router.targets.idle.contains(target.entry.address);
+  if (open == router.targets.open_by_address.end() || open->second < share ||
+      router.targets.idle.contains(target.entry.address)) {
+    return true;
+  }
+  auto load = router.loads.targets.find(target.entry.name);
+  const int running = load == router.loads.targets.end() ? 0 : running_at(load->second, now);
+  return std::max(running, open->second) < most_connections_part * home.max_connections;
 }
 
 // True if the target is warm, or this router may send to it while it is cold.
@@ -211,7 +219,7 @@
         std::find(call.tried.begin(), call.tried.end(), entry.first) != call.tried.end();
     if (target.entry.pool != home.name || tried || !is_usable(router.store.targets, target) ||
         is_avoided(router.health, entry.first, now) != avoided ||
-        !may_bear(router, target, home, now) || !has_room(router, target, share)) {
+        !may_bear(router, target, home, now) || !has_room(router, target, home, share, now)) {
       continue;
     }
     result.push_back(
@@ -240,7 +248,8 @@
   const load_table& loads = call.router->loads;
   const instant now = current_time();
   if (home.engine && call.request.what_to_read.has_value()) {
-    return choose_engine(loads, candidates, *call.request.what_to_read, home.memory_tokens, now);
+    return choose_engine(loads, candidates, *call.request.what_to_read, home.memory_tokens,
+                         home.shortest_aim, now);
   }
   return choose_plain(loads, candidates, stable_hash(call.request.id), now);
 }
--- a/net/peer_exchange.cc
+++ b/net/peer_exchange.cc
@@ -41,6 +41,7 @@
     use.set_target(target_hash(entry.first));
     use.set_running(static_cast<std::uint32_t>(load.running));
     use.set_unread_tokens(static_cast<std::uint32_t>(load.unread));
+    use.set_memory_tokens(static_cast<std::uint32_t>(load.memory));
     use.set_tokens_read(static_cast<std::uint32_t>(load.new_tokens_read));
     for (std::uint32_t prefix : load.new_prefixes) {
       use.add_read_prefixes(prefix);
@@ -83,8 +84,9 @@
     }
     const std::vector<std::uint32_t> prefixes(use.read_prefixes().begin(),
                                               use.read_prefixes().end());
-    note_peer_load(router.loads, from, found->second, static_cast<int>(use.running()),
-                   use.unread_tokens(), prefixes, use.tokens_read(), now);
+    const peer_load told{static_cast<int>(use.running()), static_cast<double>(use.unread_tokens()),
+                         static_cast<double>(use.memory_tokens()), now};
+    note_peer_load(router.loads, from, found->second, told, prefixes, use.tokens_read());
   }
 }
 
