Price reading by the streams it delays; place long outputs by the speed of tokens

The cost of reading now grows with the streams written there, and the output's expected time counts, from the callers' estimates and measured gaps. Also: the gap between events was measured as zero; reading again weighs 1.6.

--- a/core/call.h
+++ b/core/call.h
@@ -22,6 +22,7 @@
   std::string model;
   double tokens_in = 0;
   double tokens_out = 0;                // most that may be generated
+  double expected_out = 0;              // the caller's estimate; often far off
   std::vector<prompt_prefix> prefixes;  // shortest first; the last is the whole prompt
 };
 
--- a/core/placement.cc
+++ b/core/placement.cc
@@ -8,7 +8,14 @@
 namespace peridot {
 namespace {
 
-constexpr double reread_weight = 1.0;          // reading again takes the engine from all others
+constexpr double reread_weight = 1.6;  // reading again takes the engine from all others
+constexpr double delay_weight = 1.5;   // reading delays all streams of the engine
+constexpr double write_weight = 0.01;  // of the time that an output takes
+constexpr double output_margin = 1.5;  // outputs are often longer than their callers estimate
+constexpr double risk_weight = 0.1;    // of the time by which an output would be too late
+constexpr double token_memory = 0.03;  // weight of the newest measurement
+constexpr double most_token_ms = 500;
+constexpr double assumed_token_ms = 10;
 constexpr double comfortable_weight = 0.2;     // of a wait that leaves the first token on time
 constexpr double long_wait_weight = 3.0;       // of the rest of a wait
 constexpr double first_meeting = 0.8;          // pull of the engine where a new subject should live
@@ -18,7 +25,6 @@
 constexpr double crowded_ms = 400;             // price of a place beyond that, up to all slots
 constexpr double full_ms = 5'000;              // no free slot: waits for a call to end
 constexpr double rate_memory = 0.08;           // weight of the newest measurement
-constexpr double expected_output = 0.5;        // of the most that may be generated
 constexpr double least_sample_tokens = 2'500;  // shorter waits measure the base, not reading
 constexpr double most_base_ms = 400;
 constexpr double least_rate = 3;
@@ -45,12 +51,23 @@
   load.prefix_used_at[prefix] = load.tokens_read;
 }
 
-// `read_ms`: of the part of the prompt that is not kept; `wait_ms`: until the first token.
-double engine_cost(const candidate& where, int running, double read_ms, double wait_ms,
-                   double comfortable_ms) {
-  double cost = reread_weight * read_ms + comfortable_weight * std::min(wait_ms, comfortable_ms) +
-                long_wait_weight * std::max(0.0, wait_ms - comfortable_ms);
-  const double used = static_cast<double>(running) / std::max(1, where.slots);
+// What a call would cost at one engine, in milliseconds of delay to itself and others.
+struct engine_terms {
+  double read_ms = 0;         // of the part of the prompt that is not kept
+  double wait_ms = 0;         // until the first token
+  double comfortable_ms = 0;  // a wait that leaves the first token on time
+  double write_ms = 0;        // of the whole output at the engine's present speed
+  double left_ms = 0;         // until the call is given up
+  int running = 0;
+};
+
+double engine_cost(const candidate& where, const engine_terms& terms) {
+  const double used = static_cast<double>(terms.running) / std::max(1, where.slots);
+  double cost =
+      terms.read_ms * (reread_weight + delay_weight * used) + write_weight * terms.write_ms +
+      comfortable_weight * std::min(terms.wait_ms, terms.comfortable_ms) +
+      long_wait_weight * std::max(0.0, terms.wait_ms - terms.comfortable_ms) +
+      risk_weight * std::max(0.0, terms.wait_ms + terms.write_ms * output_margin - terms.left_ms);
   if (used >= 1) {
     cost += full_ms;
   } else if (used > crowded_part) {
@@ -72,6 +89,13 @@
   return what.prefixes.size() >= 2 ? what.prefixes[what.prefixes.size() - 2].tokens : 0;
 }
 
+double token_ms_of(const load_table& table, const target_load& load) {
+  if (load.token_ms > 0) {
+    return load.token_ms;
+  }
+  return table.pool_token_ms > 0 ? table.pool_token_ms : assumed_token_ms;
+}
+
 double base_of(const target_load& load) {
   return load.base_ms > 0 ? load.base_ms : first_token_base_ms;
 }
@@ -134,12 +158,14 @@
 }
 
 placement choose_engine(const load_table& table, const std::vector<candidate>& candidates,
-                        const prompt& what, double memory_tokens, duration aim, instant now) {
+                        const engine_call& call, instant now) {
+  const prompt& what = *call.what;
+  const double memory_tokens = call.memory_tokens;
   placement best;
   double best_cost = 0;
   const std::uint64_t subject = subject_of(what);
   const double shared = shared_tokens(what);
-  const double comfortable_ms = comfortable_part * to_ms(aim);
+  const double comfortable_ms = comfortable_part * to_ms(call.aim);
   const candidate* home = nullptr;  // rendezvous: equal on all routers
   std::uint64_t home_score = 0;
   bool kept_somewhere = false;
@@ -162,8 +188,12 @@
     choice.running = running_at(load, now);
     const double read_ms = std::max(0.0, what.tokens_in - choice.kept_tokens) / rate;
     choice.first_token_ms = base_of(load) + choice.unread_ahead / rate + read_ms;
-    double cost =
-        engine_cost(where, choice.running, read_ms, choice.first_token_ms, comfortable_ms);
+    double cost = engine_cost(where, {.read_ms = read_ms,
+                                      .wait_ms = choice.first_token_ms,
+                                      .comfortable_ms = comfortable_ms,
+                                      .write_ms = what.expected_out * token_ms_of(table, load),
+                                      .left_ms = to_ms(call.left),
+                                      .running = choice.running});
     if (&where == home) {
       cost -= (kept_somewhere ? home_pull : first_meeting) * shared / rate;
     }
@@ -210,7 +240,7 @@
     return cost;
   }
   cost.unread = std::max(0.0, what->tokens_in - kept_tokens(load, *what, memory_tokens, now));
-  cost.memory = cost.unread + what->tokens_out * expected_output;  // kept parts are shared
+  cost.memory = cost.unread + what->expected_out;  // kept parts are shared
   cost.ahead = unread_at(load, now) + cost.unread;
   cost.reading = true;
   load.unread += cost.unread;
@@ -255,6 +285,21 @@
           : table.pool_read_rate + rate_memory * (load.read_rate - table.pool_read_rate);
 }
 
+void note_event_gap(load_table& table, const target_name& target, duration gap, int tokens) {
+  auto found = table.targets.find(target);
+  if (found == table.targets.end()) {
+    return;
+  }
+  target_load& load = found->second;
+  const double sample = std::min(most_token_ms, to_ms(gap) / std::max(1, tokens));
+  const double before = token_ms_of(table, load);
+  load.token_ms = before + token_memory * (sample - before);
+  table.pool_token_ms =
+      table.pool_token_ms <= 0
+          ? load.token_ms
+          : table.pool_token_ms + token_memory * (load.token_ms - table.pool_token_ms);
+}
+
 void note_ended(load_table& table, const target_name& target, call_cost& cost) {
   auto found = table.targets.find(target);
   if (found == table.targets.end()) {
--- a/core/placement.h
+++ b/core/placement.h
@@ -15,6 +15,10 @@
 // reading a shared part again takes the engine from everybody: up to a comfortable
 // wait, calls go where their parts are kept; beyond, the wait outweighs.
 //
+// Reading a prompt delays every stream that its engine writes, so it costs more where
+// many are written; calls with long outputs go where tokens come fast. Engines that
+// mostly read and engines that mostly write come about by themselves.
+//
 // Load patterns answered: long shared prompts over many subjects (each is read by
 // few engines), many short shared parts (they meet often enough to stay in memory),
 // one hot subject (spills to others once the wait exceeds reading it again), many
@@ -35,7 +39,7 @@
 
 inline constexpr milliseconds peer_load_life{1'000};  // ten rounds of gossip
 inline constexpr double first_token_base_ms = 25;     // one step and the way there and back
-inline constexpr double comfortable_part = 0.7;  // of the shortest aim: a wait that costs little
+inline constexpr double comfortable_part = 0.9;  // of the shortest aim: a wait that costs little
 inline constexpr double assumed_read_rate = 30;  // tokens a ms before any was measured
 inline constexpr double least_kept_part = 0.25;  // of an engine's memory that holds prefixes
 inline constexpr double kept_safety = 0.85;      // evicted sooner than the model says
@@ -67,6 +71,7 @@
   double new_tokens_read = 0;                                // likewise
   double read_rate = 0;                                      // tokens a ms; 0: none measured
   double base_ms = 0;         // mean time to the first token of short waits; 0: none measured
+  double token_ms = 0;        // mean time between two tokens of a stream; 0: none measured
   double service_ms = 0;      // mean time of a call at a plain target
   int reported_running = -1;  // by the target itself with its newest answer; -1: none
   int reported_waiting = 0;
@@ -76,6 +81,7 @@
 struct load_table {
   std::map<target_name, target_load> targets;
   double pool_read_rate = 0;  // mean over engines; 0: none measured
+  double pool_token_ms = 0;   // likewise
 };
 
 struct candidate {
@@ -103,9 +109,16 @@
 // Tokens of the prompt that the target is expected to have in memory.
 double kept_tokens(const target_load& load, const prompt& what, double memory_tokens, instant now);
 
-// `aim`: the shortest target latency of the pool's routes.
+// A call to an engine, as far as the choice depends on it.
+struct engine_call {
+  const prompt* what = nullptr;  // never null
+  double memory_tokens = 0;      // of each engine
+  duration aim{};                // the shortest target latency of the pool's routes
+  duration left{};               // until the call is given up
+};
+
 placement choose_engine(const load_table& table, const std::vector<candidate>& candidates,
-                        const prompt& what, double memory_tokens, duration aim, instant now);
+                        const engine_call& call, instant now);
 
 // For targets that read no prompts: least busy by slots, then the own failure domain.
 // `first_token_ms` is the predicted wait for a slot.
@@ -115,6 +128,8 @@
 call_cost note_sent(load_table& table, const target_name& target, const prompt* what,
                     double memory_tokens, instant now);
 void note_first_token(load_table& table, const target_name& target, call_cost& cost, instant now);
+// The time from one event of a stream to the next, which holds `tokens` tokens.
+void note_event_gap(load_table& table, const target_name& target, duration gap, int tokens);
 void note_ended(load_table& table, const target_name& target, call_cost& cost);
 
 // Time of one whole call at a plain target.
--- a/core/published.h
+++ b/core/published.h
@@ -61,6 +61,7 @@
   bool engine = false;   // its targets read prompts
   int batch_slots = 0;   // of an engine: requests at once
   double memory_tokens = 0;
+  int tokens_per_event = 1;          // of its streams
   milliseconds shortest_aim{1'000};  // of the routes with prompts; by finish_config()
 };
 
--- a/net/call_answer.cc
+++ b/net/call_answer.cc
@@ -97,6 +97,9 @@
     begin_answer(call, std::nullopt);
   } else if (call.events_passed > 0) {
     observe(call.router->counts.between_chunks, now - call.last_progress);
+    const pool* home = find_pool(*call.config, call.current->pool);
+    note_event_gap(call.router->loads, call.current->target, now - call.last_progress,
+                   home == nullptr ? 1 : home->tokens_per_event);
   }
   reply_data(*call.exchange, event);
   ++call.events_passed;
@@ -160,7 +163,6 @@
 void on_data(router_state& router, std::uint64_t number, std::string_view data) {
   live_call& call = *find_call(router, number);
   attempt& current = *call.current;
-  call.last_progress = current_time();
   if (current.is_stream) {
     const bool bounded = feed_events(
         current.events, data, [&call](std::string_view event, std::optional<std::uint64_t> id) {
@@ -300,6 +302,12 @@
              : 0;
 }
 
+int output_tokens(const live_call& call) {
+  return call.request.what_to_read.has_value()
+             ? static_cast<int>(call.request.what_to_read->expected_out)
+             : 0;
+}
+
 // What a send adds to load, shares and budgets.
 void account_send(live_call& call, const pool& home, const target_state& target, instant now) {
   router_state& router = *call.router;
@@ -314,7 +322,7 @@
        limits_of(router.settings.retry_ratio, router.settings.retry_slack, routers));
   observe(router.counts.queue_wait, now - call.arrived);
   if (what != nullptr) {
-    note_served(router.shares, call.caller, what->tokens_in + 2 * what->tokens_out, now);
+    note_served(router.shares, call.caller, what->tokens_in + 2 * what->expected_out, now);
   }
 }
 
@@ -340,6 +348,7 @@
   log_line(log_part::http, log_level::info,
            "Call sent. call=" + call.request.id + " target=" + target.entry.name.value + " send=" +
                std::to_string(call.sends) + " tokens_in=" + std::to_string(prompt_tokens(call)) +
+               " tokens_out=" + std::to_string(output_tokens(call)) +
                " predicted_ms=" + std::to_string(static_cast<int>(where.first_token_ms)) +
                " unread_ahead=" + std::to_string(static_cast<int>(where.unread_ahead)) +
                " kept=" + std::to_string(static_cast<int>(where.kept_tokens)) + " running=" +
--- a/net/call_relay.cc
+++ b/net/call_relay.cc
@@ -248,8 +248,12 @@
   const load_table& loads = call.router->loads;
   const instant now = current_time();
   if (home.engine && call.request.what_to_read.has_value()) {
-    return choose_engine(loads, candidates, *call.request.what_to_read, home.memory_tokens,
-                         home.shortest_aim, now);
+    return choose_engine(loads, candidates,
+                         {.what = &*call.request.what_to_read,
+                          .memory_tokens = home.memory_tokens,
+                          .aim = home.shortest_aim,
+                          .left = call.give_up_at - now},
+                         now);
   }
   return choose_plain(loads, candidates, stable_hash(call.request.id), now);
 }
@@ -402,7 +406,7 @@
   watch_caller(*call);
   if (call->request.what_to_read.has_value()) {
     const prompt& what = *call->request.what_to_read;
-    note_asked(router.shares, call->caller, what.tokens_in + 2 * what.tokens_out, current_time());
+    note_asked(router.shares, call->caller, what.tokens_in + 2 * what.expected_out, current_time());
   }
   place_call(*call);
 }
