Test the decisions, both HTTP sides, the decoders and the store's state; let refusals reach their callers

The new test of bad input failed first: answers of 400, 408, 413 and 431 were shut off before they were written, so that a caller saw a closed connection instead. The connection now closes once the answer has left.

--- /dev/null
+++ b/core/testing/placement_test.cc
@@ -0,0 +1,207 @@
+#include "core/placement.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+#include <set>
+#include <string>
+
+using namespace peridot;
+
+namespace {
+
+const instant start = instant{} + std::chrono::hours{1};
+constexpr double memory = 260'000;
+
+std::vector<candidate> engines(int count) {
+  std::vector<candidate> result;
+  for (int number = 0; number < count; ++number) {
+    result.push_back({target_name{"engine-" + std::to_string(number)}, 64, false});
+  }
+  return result;
+}
+
+// A prompt of a head, a subject that others share, and a part of its own.
+prompt make_prompt(std::uint64_t subject, double shared = 6'000, double own = 2'000) {
+  prompt what;
+  what.model = "m";
+  what.tokens_in = shared + own;
+  what.tokens_out = 100;
+  what.expected_out = 50;
+  static std::uint64_t unique = 1'000'000;
+  what.prefixes = {{7, shared / 3}, {100 + subject, shared}, {++unique, shared + own}};
+  return what;
+}
+
+engine_call call_of(const prompt& what) {
+  return {&what, memory, milliseconds{600}, milliseconds{5'000}};
+}
+
+placement send(load_table& table, const std::vector<candidate>& all, const prompt& what,
+               instant now, call_cost& cost) {
+  const placement where = choose_engine(table, all, call_of(what), now);
+  cost = note_sent(table, where.chosen->name, &what, memory, now);
+  return where;
+}
+
+}  // namespace
+
+TEST_CASE("load pattern: long shared prompts over many subjects live on few engines each") {
+  const std::vector<candidate> all = engines(9);
+  load_table table;
+  std::map<std::uint64_t, std::set<std::string>> homes;
+  std::mt19937 random(5);
+  double read = 0;
+  double shared_again = 0;
+  for (int call = 0; call < 2'000; ++call) {
+    const instant now = start + milliseconds{30 * call};
+    const std::uint64_t subject = random() % 40;
+    const prompt what = make_prompt(subject);
+    call_cost cost;
+    const placement where = send(table, all, what, now, cost);
+    shared_again += std::max(0.0, 6'000 - where.kept_tokens);
+    read += cost.unread;
+    homes[subject].insert(where.chosen->name.value);
+    note_first_token(table, where.chosen->name, cost, now + milliseconds{25});
+    note_ended(table, where.chosen->name, cost);
+  }
+  double engines_used = 0;
+  for (const std::pair<const std::uint64_t, std::set<std::string>>& home : homes) {
+    engines_used += static_cast<double>(home.second.size());
+  }
+  CHECK(engines_used / static_cast<double>(homes.size()) < 2.5);
+  CHECK(shared_again < 0.1 * 2'000 * 6'000);
+}
+
+TEST_CASE("a router that knows nothing chooses what the others would choose") {
+  const std::vector<candidate> all = engines(9);
+  for (std::uint64_t subject = 0; subject < 50; ++subject) {
+    const load_table first;
+    const load_table second;
+    const prompt one = make_prompt(subject);
+    const prompt other = make_prompt(subject);
+    CHECK(choose_engine(first, all, call_of(one), start).chosen->name ==
+          choose_engine(second, all, call_of(other), start).chosen->name);
+  }
+}
+
+TEST_CASE("load pattern: one hot subject spills to further engines, and not before its aim") {
+  const std::vector<candidate> all = engines(9);
+  load_table table;
+  std::set<std::string> used;
+  for (int call = 0; call < 60; ++call) {
+    const prompt what = make_prompt(1);
+    call_cost cost;
+    const placement where = send(table, all, what, start, cost);  // none is read meanwhile
+    used.insert(where.chosen->name.value);
+    if (call < 3) {
+      CHECK(used.size() == 1);
+    }
+  }
+  CHECK(used.size() >= 5);
+}
+
+TEST_CASE("load pattern: many routers on one stale report count their own sends at once") {
+  const std::vector<candidate> all = engines(3);
+  load_table table;
+  for (const candidate& one : all) {
+    note_report(table, one.name, 0, 0, start);  // idle, says the report
+  }
+  std::set<std::string> used;
+  for (int call = 0; call < 12; ++call) {
+    const prompt what = make_prompt(static_cast<std::uint64_t>(call), 0, 9'000);
+    call_cost cost;
+    used.insert(send(table, all, what, start, cost).chosen->name.value);
+  }
+  CHECK(used.size() == 3);
+}
+
+TEST_CASE("load pattern: long outputs go where tokens come fast") {
+  const std::vector<candidate> all = engines(2);
+  load_table table;
+  prompt reader = make_prompt(1);
+  call_cost cost = note_sent(table, all[0].name, &reader, memory, start);
+  call_cost other = note_sent(table, all[1].name, &reader, memory, start);
+  note_first_token(table, all[0].name, cost, start);
+  note_first_token(table, all[1].name, other, start);
+  for (int event = 0; event < 200; ++event) {
+    note_event_gap(table, all[0].name, milliseconds{200}, 4);
+    note_event_gap(table, all[1].name, milliseconds{32}, 4);
+  }
+  for (std::uint64_t subject = 0; subject < 20; ++subject) {
+    prompt writer = make_prompt(subject, 170, 500);
+    writer.expected_out = 700;
+    writer.tokens_out = 900;
+    CHECK(choose_engine(table, all, call_of(writer), start).chosen->name == all[1].name);
+  }
+}
+
+TEST_CASE("a prefix is forgotten once the engine has read its memory's worth since") {
+  load_table table;
+  const target_name target{"engine-0"};
+  const prompt kept = make_prompt(1);
+  call_cost cost = note_sent(table, target, &kept, memory, start);
+  note_ended(table, target, cost);
+  const target_load& load = table.targets.at(target);
+  CHECK(kept_tokens(load, make_prompt(1), memory, start) == 6'000);
+  CHECK(kept_tokens(load, make_prompt(2), memory, start) == 2'000);
+  note_peer_load(table, router_address{"p"}, target, {0, 0, 0, start}, {}, memory);
+  CHECK(kept_tokens(load, make_prompt(1), memory, start) == 0);
+  SUBCASE("what a peer read there counts") {
+    const prompt told = make_prompt(3);
+    note_peer_load(table, router_address{"p"}, target, {0, 0, 0, start},
+                   {static_cast<std::uint32_t>(told.prefixes[0].hash),
+                    static_cast<std::uint32_t>(told.prefixes[1].hash)},
+                   0);
+    CHECK(kept_tokens(load, make_prompt(3), memory, start) == 6'000);
+  }
+}
+
+TEST_CASE("load is counted back to nothing, whatever the order of events") {
+  std::mt19937 random(11);
+  load_table table;
+  const std::vector<candidate> all = engines(4);
+  std::vector<std::pair<target_name, call_cost>> open;
+  for (int step = 0; step < 5'000; ++step) {
+    const instant now = start + milliseconds{step};
+    if (open.empty() || random() % 2 == 0) {
+      const prompt what = make_prompt(random() % 30);
+      call_cost cost;
+      const placement where = send(table, all, what, now, cost);
+      open.emplace_back(where.chosen->name, cost);
+    } else {
+      const std::size_t index = random() % open.size();
+      if (random() % 3 != 0) {
+        note_first_token(table, open[index].first, open[index].second, now);
+      }
+      note_ended(table, open[index].first, open[index].second);
+      open.erase(open.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+  }
+  for (std::pair<target_name, call_cost>& one : open) {
+    note_ended(table, one.first, one.second);
+  }
+  for (const std::pair<const target_name, target_load>& entry : table.targets) {
+    CHECK(entry.second.running == 0);
+    CHECK(entry.second.unread == doctest::Approx(0));
+    CHECK(entry.second.memory == doctest::Approx(0));
+  }
+}
+
+TEST_CASE("plain targets: the least busy by slots, the own failure domain among equals") {
+  load_table table;
+  const std::vector<candidate> all = {{target_name{"near"}, 6, true},
+                                      {target_name{"far"}, 6, false}};
+  CHECK(choose_plain(table, all, 1, start).chosen->name.value == "near");
+  for (int call = 0; call < 3; ++call) {
+    note_sent(table, target_name{"near"}, nullptr, 0, start);
+  }
+  CHECK(choose_plain(table, all, 1, start).chosen->name.value == "far");
+  SUBCASE("peers' calls count while their news is fresh") {
+    note_peer_load(table, router_address{"p"}, target_name{"far"}, {6, 0, 0, start}, {}, 0);
+    CHECK(choose_plain(table, all, 1, start).chosen->name.value == "near");
+    CHECK(
+        choose_plain(table, all, 1, start + peer_load_life + milliseconds{1}).chosen->name.value ==
+        "far");
+  }
+}
--- /dev/null
+++ b/core/testing/shares_and_members_test.cc
@@ -0,0 +1,178 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <random>
+#include <set>
+#include <string>
+
+#include "core/admission.h"
+#include "core/fair_share.h"
+#include "core/membership.h"
+#include "core/peer_messages.h"
+
+using namespace peridot;
+
+namespace {
+
+const instant start = instant{} + std::chrono::hours{1};
+
+router_identity router(int number, std::uint64_t incarnation = 1) {
+  return {router_address{"10.0.0." + std::to_string(number) + ":7400"}, incarnation};
+}
+
+// Raises everybody's share little by little until the capacity is used up.
+double slow_level(const std::vector<double>& asked, double capacity) {
+  double level = 0;
+  const double step = capacity / 200'000;
+  while (true) {
+    double used = 0;
+    for (double one : asked) {
+      used += std::min(one, level + step);
+    }
+    if (used > capacity) {
+      return level;
+    }
+    level += step;
+    if (level > *std::max_element(asked.begin(), asked.end())) {
+      return std::numeric_limits<double>::infinity();
+    }
+  }
+}
+
+}  // namespace
+
+TEST_CASE("the max-min level agrees with raising shares step by step") {
+  std::mt19937 random(7);
+  for (int round = 0; round < 60; ++round) {
+    std::vector<double> asked(1 + random() % 12);
+    for (double& one : asked) {
+      one = 1 + static_cast<double>(random() % 1'000);
+    }
+    const double capacity = 1 + static_cast<double>(random() % 4'000);
+    const double fast = max_min_level(asked, capacity);
+    const double slow = slow_level(asked, capacity);
+    if (slow == std::numeric_limits<double>::infinity()) {
+      CHECK(fast >= *std::max_element(asked.begin(), asked.end()) - capacity / 50'000);
+    } else {
+      CHECK(fast == doctest::Approx(slow).epsilon(0.01));
+    }
+  }
+}
+
+TEST_CASE("load pattern: one organisation sends many times its usual, through many routers") {
+  const organisation_name large{"large"};
+  const organisation_name small{"small"};
+  share_table table;
+  note_asked(table, large, 10'000, start);
+  note_served(table, large, 3'000, start);
+  note_asked(table, small, 1'000, start);
+  std::map<std::uint64_t, peer_tokens> told;
+  told[stable_hash(large.value)] = {50'000, 17'000};
+  told[stable_hash(small.value)] = {1'000, 1'000};
+  set_peer_tokens(table, router(2).address, told, start);
+  update_level(table, 10'000, start + milliseconds{1});  // 20,000 tokens in the window of 2 s
+  SUBCASE("the sum over routers decides") {
+    CHECK(share_position(table, large) > 1.0);
+    CHECK(share_position(table, small) == doctest::Approx(0.5));
+  }
+  SUBCASE("without news from peers the own view is all there is") {
+    update_level(table, 10'000, start + peer_news_life + milliseconds{2});
+    CHECK(share_position(table, large) == 0);  // all that is known fits
+  }
+  SUBCASE("while the engines suffice, nobody is above its share") {
+    update_level(table, 1'000'000, start + milliseconds{2});
+    CHECK(share_position(table, large) == 0);
+  }
+  SUBCASE("old counts leave the window") {
+    update_level(table, 10'000, start + share_bucket * (share_buckets + 1));
+    CHECK(table.own.empty());
+  }
+}
+
+TEST_CASE("load pattern: a burst; what cannot begin in time is refused at once") {
+  admission_input input{.predicted = milliseconds{400},
+                        .waited = milliseconds{5},
+                        .aim = milliseconds{600},
+                        .left = milliseconds{5'000},
+                        .share_position = 0,
+                        .jitter = 0.5};
+  CHECK(admit(input).admitted);
+  SUBCASE("later than the aim: refused, and told when to come back") {
+    input.predicted = milliseconds{1'500};
+    const admission verdict = admit(input);
+    CHECK_FALSE(verdict.admitted);
+    CHECK(verdict.why == refusal::overloaded);
+    CHECK(verdict.retry_after >= least_retry_after);
+    CHECK(verdict.retry_after <= input.left / 3);
+  }
+  SUBCASE("who has had its share is refused sooner than who has not") {
+    input.predicted = milliseconds{700};
+    input.share_position = 0.4;
+    CHECK(admit(input).admitted);
+    input.share_position = 1.1;
+    CHECK_FALSE(admit(input).admitted);
+    CHECK(admit(input).why == refusal::over_share);
+    input.predicted = milliseconds{400};
+    CHECK(admit(input).admitted);
+    input.share_position = 2;
+    CHECK_FALSE(admit(input).admitted);
+  }
+  SUBCASE("nobody is kept waiting for what comes after its deadline") {
+    input.aim = milliseconds{10'000};
+    input.left = milliseconds{1'000};
+    input.predicted = milliseconds{900};
+    CHECK_FALSE(admit(input).admitted);
+  }
+  SUBCASE("the time to come back is always one that the caller can use") {
+    std::mt19937 random(3);
+    for (int round = 0; round < 1'000; ++round) {
+      const duration left = milliseconds{random() % 10'000};
+      const duration pause =
+          retry_after(milliseconds{random() % 5'000}, left, (random() % 100) / 100.0);
+      CHECK(pause >= duration{0});
+      CHECK(pause * 3 <= left);
+    }
+  }
+}
+
+TEST_CASE("routers find each other from one seed") {
+  membership_table table = make_membership(router(1), {router(2).address}, start);
+  CHECK(live_peers(table, start).empty());
+  CHECK(gossip_peers(table, start) == std::vector<router_address>{router(2).address});
+  CHECK(on_peer(table, router(2), {router(3).address, router(1).address}, false, domain_name{"a"},
+                start));
+  CHECK(live_peers(table, start) == std::vector<router_address>{router(2).address});
+  SUBCASE("a peer that was told of is tried, and alive once it is heard") {
+    CHECK(gossip_peers(table, start + seed_retry).size() == 2);
+    on_peer(table, router(3), {}, false, domain_name{"b"}, start);
+    CHECK(live_peers(table, start).size() == 2);
+  }
+  SUBCASE("a silent peer is no longer alive, and may still be sending") {
+    const instant later = start + alive_for + milliseconds{1};
+    CHECK(live_peers(table, later).empty());
+    CHECK(possible_peers(table, later).size() == 1);
+  }
+  SUBCASE("a restart is news") {
+    CHECK_FALSE(on_peer(table, router(2), {}, false, domain_name{"a"}, start));
+    CHECK(on_peer(table, router(2, 9), {}, false, domain_name{"a"}, start));
+  }
+  SUBCASE("what was never heard is forgotten, seeds are not") {
+    expire_peers(table, start + remembered_for + milliseconds{1});
+    CHECK(table.peers.size() == 1);
+    CHECK(table.peers.contains(router(2).address));
+  }
+  SUBCASE("a large fleet gets bounded rounds that reach everybody in turn") {
+    for (int number = 4; number < 104; ++number) {
+      on_peer(table, router(number), {}, false, domain_name{"a"}, start);
+    }
+    std::set<router_address> reached;
+    for (int round = 0; round < 8; ++round) {
+      const std::vector<router_address> peers = gossip_peers(table, start);
+      CHECK(peers.size() <= 2 * full_gossip_peers);
+      reached.insert(peers.begin(), peers.end());
+    }
+    CHECK(reached.size() >= 100);
+  }
+}
--- /dev/null
+++ b/core/testing/streams_and_budgets_test.cc
@@ -0,0 +1,210 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "core/cold_gate.h"
+#include "core/event_stream.h"
+#include "core/retry_budget.h"
+#include "core/suspects.h"
+#include "core/target_health.h"
+
+using namespace peridot;
+
+namespace {
+
+const instant start = instant{} + std::chrono::hours{1};
+
+std::vector<std::string> events_of(const std::vector<std::string>& pieces,
+                                   std::vector<std::uint64_t>& ids, std::size_t& pending) {
+  event_splitter splitter;
+  std::vector<std::string> events;
+  for (const std::string& piece : pieces) {
+    feed_events(splitter, piece, [&](std::string_view event, std::optional<std::uint64_t> id) {
+      events.emplace_back(event);
+      ids.push_back(id.value_or(0));
+    });
+  }
+  pending = pending_bytes(splitter);
+  return events;
+}
+
+}  // namespace
+
+TEST_CASE("a stream is split into whole events") {
+  std::vector<std::uint64_t> ids;
+  std::size_t pending = 0;
+  SUBCASE("an event that is cut off is never handed out") {
+    const std::vector<std::string> events =
+        events_of({"id: 1\ndata: a\n\nid: 2\nda"}, ids, pending);
+    CHECK(events == std::vector<std::string>{"id: 1\ndata: a\n\n"});
+    CHECK(ids == std::vector<std::uint64_t>{1});
+    CHECK(pending == 8);
+  }
+  SUBCASE("line ends of either kind, an extra first line, no id") {
+    CHECK(
+        events_of({"x-version: 4\nid: 12\ndata: a\n\n", "data: b\r\n\r\n"}, ids, pending).size() ==
+        2);
+    CHECK(ids == std::vector<std::uint64_t>{12, 0});
+    CHECK(pending == 0);
+  }
+  SUBCASE("cut anywhere, the events are the same") {
+    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    const std::vector<std::string> whole = events_of({text}, ids, pending);
+    for (std::size_t first = 0; first <= text.size(); ++first) {
+      for (std::size_t second = first; second <= text.size(); ++second) {
+        std::vector<std::uint64_t> other;
+        CHECK(events_of(
+                  {text.substr(0, first), text.substr(first, second - first), text.substr(second)},
+                  other, pending) == whole);
+        CHECK(other == ids);
+      }
+    }
+  }
+}
+
+TEST_CASE("nine routers together keep the bound of further sends") {
+  // The platform's bound: in any window of 10 s, 0.2 of the calls and 58 more.
+  constexpr int routers = 9;
+  const retry_limits limits = limits_of(0.2, 58, routers);
+  for (int calls_in_window : {0, 10, 100, 3'000}) {
+    CAPTURE(calls_in_window);
+    int further = 0;
+    for (int router = 0; router < routers; ++router) {
+      retry_budget budget;
+      for (int call = 0; call < 10'000; ++call) {
+        earn(budget, limits);  // a calm day before: all that can be saved up
+      }
+      for (int call = 0; call < calls_in_window / routers; ++call) {
+        earn(budget, limits);
+        further += try_spend(budget) ? 1 : 0;
+        further += try_spend(budget) ? 1 : 0;
+      }
+      while (try_spend(budget)) {
+        ++further;
+      }
+    }
+    CHECK(further <= 0.2 * calls_in_window + 58);
+  }
+}
+
+TEST_CASE("cold targets: all routers together stay within what one bears") {
+  // A cold target bears 12 x 1.5 + 5 = 23 calls in any second.
+  const double bears = 12 * 1.5 + 5;
+  for (int routers : {1, 3, 9, 12, 20, 83}) {
+    CAPTURE(routers);
+    std::vector<router_address> all;
+    for (int router = 0; router < routers; ++router) {
+      all.push_back(router_address{"10.0.0." + std::to_string(router) + ":7400"});
+    }
+    std::vector<cold_gate> gates(all.size());
+    std::vector<instant> sends;
+    const target_name target{"cold"};
+    for (int step = 0; step < 4'000; ++step) {
+      const instant now = start + milliseconds{step};
+      for (std::size_t self = 0; self < all.size(); ++self) {
+        std::vector<router_address> others = all;
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(self));
+        if (may_send_cold(gates[self], target, bears, all[self], others, now)) {
+          note_cold_send(gates[self], target, now);
+          sends.push_back(now);
+        }
+      }
+    }
+    CHECK(!sends.empty());
+    for (const instant& begin : sends) {
+      const std::ptrdiff_t in_window =
+          std::count_if(sends.begin(), sends.end(), [&begin](const instant& one) {
+            return one >= begin && one < begin + std::chrono::seconds{1};
+          });
+      CHECK(static_cast<double>(in_window) <= bears);
+    }
+  }
+}
+
+TEST_CASE("cold targets: routers that know of nobody still stay within the bound") {
+  // A fleet that restarted empty: nine routers, each of which believes that it is alone.
+  const double bears = 12 * 1.5 + 5;
+  int in_one_second = 0;
+  for (int router = 0; router < 9; ++router) {
+    cold_gate gate;
+    const router_address self{"10.0.0." + std::to_string(router) + ":7400"};
+    for (int step = 0; step < 1'000; ++step) {
+      const instant now = start + milliseconds{step};
+      if (may_send_cold(gate, target_name{"cold"}, bears, self, {}, now)) {
+        note_cold_send(gate, target_name{"cold"}, now);
+        ++in_one_second;
+      }
+    }
+  }
+  CHECK(in_one_second <= bears);
+}
+
+TEST_CASE("a request that crashes targets is refused by every router") {
+  suspect_table table;
+  const std::uint64_t request = fingerprint_of(organisation_name{"o"}, "/x", "body");
+  CHECK(request != fingerprint_of(organisation_name{"p"}, "/x", "body"));
+  CHECK(request != fingerprint_of(organisation_name{"o"}, "/x", "other"));
+  note_crash(table, request, start);
+  note_peer_crashes(table, request, router_address{"a"}, 1, start);
+  CHECK_FALSE(is_refused(table, request));
+  SUBCASE("the third crash counts, whoever saw it") {
+    note_peer_crashes(table, request, router_address{"b"}, 1, start);
+    CHECK(is_refused(table, request));
+  }
+  SUBCASE("a peer that repeats its count adds nothing") {
+    note_peer_crashes(table, request, router_address{"a"}, 1, start);
+    CHECK(crash_count(table, request) == 2);
+  }
+  SUBCASE("it is forgotten after a while") {
+    note_crash(table, request, start);
+    expire_suspects(table, start + suspect_life + milliseconds{1});
+    CHECK(crash_count(table, request) == 0);
+  }
+  SUBCASE("a flood of fingerprints stays within its bound") {
+    for (std::uint64_t other = 0; other < 3 * max_suspects; ++other) {
+      note_crash(table, other, start + milliseconds{1 + static_cast<std::int64_t>(other)});
+    }
+    CHECK(table.suspects.size() == max_suspects);
+  }
+}
+
+TEST_CASE("targets are judged by their answers") {
+  health_table table;
+  const target_name target{"t"};
+  SUBCASE("no connection: avoided at once, longer with each relapse") {
+    note_result(table, target, call_result::unreachable, 0, start);
+    CHECK(is_avoided(table, target, start + first_avoidance - milliseconds{1}));
+    CHECK_FALSE(is_avoided(table, target, start + first_avoidance));
+    note_result(table, target, call_result::unreachable, 0, start + first_avoidance);
+    CHECK(is_avoided(table, target, start + first_avoidance * 3 - milliseconds{1}));
+  }
+  SUBCASE("failures that all targets of the pool show are no sign") {
+    for (int answer = 0; answer < 100; ++answer) {
+      note_result(table, target, answer % 7 == 0 ? call_result::failed : call_result::done, 0.14,
+                  start);
+    }
+    CHECK_FALSE(is_avoided(table, target, start));
+  }
+  SUBCASE("a grey target that fails far more often is avoided") {
+    for (int answer = 0; answer < 40; ++answer) {
+      note_result(table, target, answer % 5 < 3 ? call_result::failed : call_result::done, 0.1,
+                  start);
+    }
+    CHECK(failure_mean(table, target) > 0.4);
+    CHECK(table.targets.at(target).avoid_for > first_avoidance);
+  }
+  SUBCASE("an avoided target is tried once in a while") {
+    note_result(table, target, call_result::unreachable, 0, start);
+    CHECK_FALSE(take_trial(table, target, start + milliseconds{100}));
+    CHECK(take_trial(table, target, start + milliseconds{600}));
+    CHECK_FALSE(take_trial(table, target, start + milliseconds{700}));
+  }
+  SUBCASE("a full target is not faulty") {
+    for (int answer = 0; answer < 20; ++answer) {
+      note_result(table, target, call_result::refused_full, 0, start);
+    }
+    CHECK_FALSE(is_avoided(table, target, start));
+  }
+}
--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -95,7 +95,8 @@
   write_head(connection, status, headers,
              "Content-Length: " + std::to_string(body.size()) + "\r\n");
   bufferevent_write(connection.stream, body.data(), body.size());
-  close_after_answer(connection);
+  connection.reading = false;
+  arm(connection, connection.listener->options.stall_timeout);  // closed once it is written
 }
 
 void await_request(http_connection& connection) {
@@ -187,7 +188,7 @@
 
 void on_readable(bufferevent*, void* argument) {
   http_connection& connection = *static_cast<http_connection*>(argument);
-  if (connection.lingering) {
+  if (connection.lingering || (connection.close_next && connection.exchange == nullptr)) {
     evbuffer* input = bufferevent_get_input(connection.stream);
     evbuffer_drain(input, evbuffer_get_length(input));
     return;
