--- a/standins/platform_standin.cc
+++ b/standins/platform_standin.cc
@@ -84,7 +84,9 @@
       end->what->watches.begin(), end->what->watches.end(),
       [&end](const std::unique_ptr<waiting_watch>& one) { return one.get() == end->watch; });
   if (found != end->what->watches.end()) {
-    answer_watch(*end->what, **found);
+    if (end->what->mode == store_mode::ok) {
+      answer_watch(*end->what, **found);
+    }
     end->what->watches.erase(found);
   }
 }
