--- a/core/admission.h
+++ b/core/admission.h
@@ -19,10 +19,10 @@
 
 namespace peridot {
 
-inline constexpr double late_factor_calm = 1.0;  // of the aim, while all can be served
-inline constexpr double late_factor_below = 1.1;  // its organisation is below its share
-inline constexpr double late_factor_at = 0.6;    // has had its share
-inline constexpr double late_factor_above = 0.4;  // has had half as much again
+inline constexpr double late_factor_calm = 0.9;  // of the aim, while all can be served
+inline constexpr double late_factor_below = 0.9;  // its organisation is below its share
+inline constexpr double late_factor_at = 0.45;    // has had its share
+inline constexpr double late_factor_above = 0.3;  // has had half as much again
 inline constexpr double above_share = 1.5;        // from here on: above
 inline constexpr double usable_part = 0.85;       // of the caller's time, for the first token
 inline constexpr milliseconds least_retry_after{120};
