Tell peers' addresses every fifth round of gossip; test that an empty router learns from peers

Cause: nine routers at 150 calls a second sent 12 KB a second each; the addresses of peers were half of a message. Process tests now give each router an address of its own, so that peers find each other, and start an empty router while the store is silent.

--- a/net/peer_exchange.cc
+++ b/net/peer_exchange.cc
@@ -13,6 +13,7 @@
 // own watch usually brings them sooner. A quarter of the platform's bound.
 constexpr milliseconds ahead_before_asking{500};
 constexpr std::size_t max_peers_told = 64;
+constexpr std::uint64_t rounds_per_introduction = 5;  // peers' addresses are half of a message
 constexpr std::size_t max_crashes_told = 64;
 constexpr std::size_t max_organisations_told = 256;
 
@@ -31,6 +32,14 @@
   }
 }
 
+void add_peers(const router_state& router, wire::gossip& gossip, instant now) {
+  for (const router_address& peer : live_peers(router.members, now)) {
+    if (gossip.peers_size() < static_cast<int>(max_peers_told)) {
+      gossip.add_peers(peer.value);
+    }
+  }
+}
+
 void add_loads(router_state& router, wire::gossip& gossip) {
   for (std::pair<const target_name, target_load>& entry : router.loads.targets) {
     target_load& load = entry.second;
@@ -202,10 +211,8 @@
   gossip.set_leaving(router.stopping);
   gossip.set_operator_revision(router.store.newest_operator_revision);
   gossip.set_target_revision(router.store.newest_target_revision);
-  for (const router_address& peer : live_peers(router.members, now)) {
-    if (gossip.peers_size() < static_cast<int>(max_peers_told)) {
-      gossip.add_peers(peer.value);
-    }
+  if (router.gossip_round++ % rounds_per_introduction == 0) {
+    add_peers(router, gossip, now);
   }
   add_loads(router, gossip);
   add_organisations(router, gossip);
--- a/net/router_state.h
+++ b/net/router_state.h
@@ -124,6 +124,7 @@
   std::unordered_map<std::uint32_t, target_name> target_by_hash;
   std::uint64_t hashed_generation = 0;
   std::uint64_t cleaned_generation = 0;
+  std::uint64_t gossip_round = 0;
   std::map<router_address, instant> behind_since;  // peers whose store is ahead of ours
 
   std::unordered_map<std::uint64_t, std::unique_ptr<live_call>> calls;
--- a/scripts/process_tests/lib.sh
+++ b/scripts/process_tests/lib.sh
@@ -1,7 +1,7 @@
 # Helpers of the process tests: a fleet of real processes on loopback.
 #
 # Ports: store 19000, targets from 19100, router N: callers 18000+N, readiness
-# 18100+N, control 18200+N, mesh 18300+N. Every process started here is ended by id.
+# 18100+N, control 18200+N, mesh 127.0.0.N:18300. Every process started here is ended by id.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
 BIN=${PERIDOT_BIN:-build}
@@ -39,8 +39,8 @@
 callers_address = "127.0.0.1:$((18000 + n))"
 readiness_address = "127.0.0.1:$((18100 + n))"
 control_address = "127.0.0.1:$((18200 + n))"
-mesh_address = "127.0.0.1:$((18300 + n))"
-seeds = []
+mesh_address = "127.0.0.$n:18300"
+seeds = ["127.0.0.1:18201", "127.0.0.2:18202"]
 store_address = "127.0.0.1:19000"
 fleet_key = "key of the process tests"
 stop_grace_ms = 8000
--- a/scripts/process_tests/store_outage.sh
+++ b/scripts/process_tests/store_outage.sh
@@ -12,9 +12,14 @@
   "$BIN/peridot_load" --routers="$(callers_of 1 2 3)" --seconds=2 --per_second=60 >"$WORK/load-$mode.txt" || fail "$mode: $(cat "$WORK/load-$mode.txt")"
   [ "$(field whole "$WORK/load-$mode.txt")" -eq "$(field calls "$WORK/load-$mode.txt")" ] || fail "$mode: $(cat "$WORK/load-$mode.txt")"
 done
-for n in 1 2 3; do
+# A router that starts empty meanwhile learns all of it from its peers.
+start_router 4
+wait_for "router 4" is_ready 4
+grep -q 'Items from a peer' "$WORK/router4.log" || fail "router 4 did not learn from a peer"
+"$BIN/peridot_load" --routers="$(callers_of 4)" --seconds=2 --per_second=60 >"$WORK/load-4.txt" || fail "router 4: $(cat "$WORK/load-4.txt")"
+for n in 1 2 3 4; do
   ! grep 'Call sent' "$WORK/router$n.log" | grep -E 'target=i-(1|2|5) ' || fail "router $n sent to a draining or evacuated target"
-  grep -q 'Store lost' "$WORK/router$n.log" || fail "router $n did not log the loss of the store"
+  grep -q 'Store lost\|Call to the store failed' "$WORK/router$n.log" || fail "router $n did not log the loss of the store"
 done
 curl -sf -o /dev/null -X POST "$admin/store?mode=ok"
 curl -sf -o /dev/null -X DELETE "$admin/item?key=op/evacuate/zone-b"
