Refuse in proportion to the share that an organisation has had

From its share on, an organisation now gets 0.5 of the aim over its position, at least 0.2. Ruled out: missing news from peers (positions agree on all routers). Test: shares_and_members_test.cc, which fails with the steps of before (0.45 and 0.3).

--- a/core/admission.cc
+++ b/core/admission.cc
@@ -10,10 +10,7 @@
 }
 
 double aim_part(double position) {
-  if (position < 1) {
-    return aim_part_below;
-  }
-  return position < above_share ? aim_part_at : aim_part_above;
+  return position < 1 ? aim_part_below : std::max(least_aim_part, aim_part_at / position);
 }
 
 }  // namespace
--- a/core/admission.h
+++ b/core/admission.h
@@ -21,9 +21,8 @@
 namespace peridot {
 
 inline constexpr double aim_part_below = 0.9;  // below its share, or while all can be served
-inline constexpr double aim_part_at = 0.45;    // has had its share
-inline constexpr double aim_part_above = 0.3;  // has had half as much again
-inline constexpr double above_share = 1.5;     // from here on: above
+inline constexpr double aim_part_at = 0.5;     // has just had its share; then less in proportion
+inline constexpr double least_aim_part = 0.2;  // an engine that is nearly idle serves anybody
 inline constexpr double usable_part = 0.85;    // of the caller's time, for the first token
 inline constexpr milliseconds least_retry_after{120};
 inline constexpr double most_retry_part =
--- a/core/testing/shares_and_members_test.cc
+++ b/core/testing/shares_and_members_test.cc
@@ -108,7 +108,7 @@
     CHECK(verdict.retry_after <= input.left / 3);
   }
   SUBCASE("the more of its share it has had, the sooner it is refused; nobody begins late") {
-    const std::vector<double> positions = {2, 1.1, 0.4, 0};
+    const std::vector<double> positions = {8, 1.3, 0.4, 0};
     std::vector<int> admitted(positions.size());
     for (int predicted = 0; predicted < 1'500; predicted += 5) {
       input.predicted = milliseconds{predicted};
@@ -125,6 +125,9 @@
       }
     }
     CHECK(admitted[0] > 0);
+    // cq-notebooks mix, seed 16580402635: one organisation at 8 times its share and one at
+    // 1.3 times were refused nearly alike, and the second got less than half.
+    CHECK(admitted[0] * 5 <= admitted[1] * 3);
     CHECK(admitted[0] < admitted[1]);
     CHECK(admitted[1] < admitted[2]);
   }
