--- a/net/router_process.cc
+++ b/net/router_process.cc
@@ -87,7 +87,13 @@
   if (elapsed >= refuse_after && !router.refusing) {
     router.refusing = true;  // with an answer that says "not run", until the end
   }
-  const bool drained = router.refusing && router.calls.empty() && router.callers->open.empty();
+  const bool quiet = router.refusing && router.calls.empty() && router.callers->open.empty();
+  // The socket is closed one tick before the end: what was accepted is still answered,
+  // and who comes later finds no connection instead of one that breaks.
+  const bool drained = quiet && router.callers->socket == nullptr;
+  if (quiet) {
+    stop_accepting(*router.callers);
+  }
   const bool late = elapsed >= router.settings.stop_grace - exit_margin;
   if (drained || late) {
     router.exit_status = router.calls.empty() ? 0 : 1;
