--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,6 +19,8 @@
   echo "== $name"
   if "$@"; then
     passed=$((passed + 1))
+  elif grep -qxF "  bash $name" KNOWN-RED.txt; then
+    echo "known to be red: $name"
   else
     failed=$((failed + 1))
     failures+=("$name")
