Keep one copy of the loop's clock; drop a minimum that could not matter

Three files had a function of their own for the current time beside current_time(), and the time left for a target took the lesser of two values of which one is already the lesser. No change of behaviour.

--- a/net/call_answer.cc
+++ b/net/call_answer.cc
@@ -274,7 +274,7 @@
 
 http_call make_call(const live_call& call, const target_state& target, instant now) {
   const message_head& head = call.exchange->head;
-  const duration left = std::min(call.caller_leaves_at, call.give_up_at) - now - target_margin;
+  const duration left = call.give_up_at - now - target_margin;
   platform::outgoing_call outgoing;
   outgoing.from_caller = &head;
   outgoing.target = target.entry.name;
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -19,10 +19,6 @@
 constexpr std::size_t max_idle_per_address = 64;
 constexpr unsigned int unacknowledged_ms = 3'000;  // TCP_USER_TIMEOUT: silent peers
 
-instant current() {
-  return std::chrono::steady_clock::now();
-}
-
 void arm(client_connection& connection, milliseconds time) {
   if (time == milliseconds{0}) {
     event_del(connection.timer.get());
@@ -96,7 +92,7 @@
     call->handlers.on_end(call_end::complete);
     return;
   }
-  connection.idle_since = current();
+  connection.idle_since = current_time();
   connection.keep = keep;
   event_del(connection.timer.get());
   start_message(connection.parser, message_side::response);
@@ -270,7 +266,7 @@
   }
   client_connection* newest = found->second.back();
   const milliseconds most = std::min(call.max_reuse_idle, usable_keep(client, *newest));
-  if (current() - newest->idle_since > most) {
+  if (current_time() - newest->idle_since > most) {
     return nullptr;
   }
   found->second.pop_back();
--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -20,10 +20,6 @@
 constexpr int accept_queue = 512;
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 
-instant current() {
-  return std::chrono::steady_clock::now();
-}
-
 void arm(http_connection& connection, milliseconds time) {
   const timeval limit = to_timeval(time);
   event_add(connection.timer.get(), &limit);
@@ -101,7 +97,7 @@
 
 void await_request(http_connection& connection) {
   connection.reading = false;
-  connection.idle_since = current();
+  connection.idle_since = current_time();
   start_message(connection.parser, message_side::request);
   connection.parser.max_head_bytes = connection.listener->limits().max_header_bytes;
   arm(connection, connection.listener->limits().idle_timeout);
@@ -135,7 +131,7 @@
   exchange->head = std::move(connection.parser.head);
   exchange->body = std::move(connection.parser.body);
   exchange->first_byte = connection.first_byte;
-  exchange->read_at = current();
+  exchange->read_at = current_time();
   exchange->peer = connection.peer;
   exchange->connection = &connection;
   connection.exchange = exchange;
@@ -158,7 +154,7 @@
       return;
     }
     connection.reading = true;
-    connection.first_byte = current();
+    connection.first_byte = current_time();
     arm(connection, connection.listener->limits().header_timeout);
   }
   const bool head_before = connection.parser.head_done;
@@ -332,7 +328,7 @@
 }
 
 void close_idle(http_listener& listener, milliseconds least_idle) {
-  const instant now = current();
+  const instant now = current_time();
   const std::set<http_connection*> all = listener.open;
   for (http_connection* connection : all) {
     const bool idle = connection->exchange == nullptr && !connection->reading &&
--- a/net/loop.cc
+++ b/net/loop.cc
@@ -16,6 +16,10 @@
 
 }  // namespace
 
+instant current_time() {
+  return std::chrono::steady_clock::now();
+}
+
 timeval to_timeval(std::chrono::milliseconds time) {
   const std::chrono::seconds seconds = std::chrono::duration_cast<std::chrono::seconds>(time);
   const std::chrono::microseconds rest = time - seconds;
--- a/net/loop.h
+++ b/net/loop.h
@@ -12,6 +12,8 @@
 #include <string>
 #include <string_view>
 
+#include "core/types.h"
+
 namespace peridot {
 
 struct event_base_deleter {
@@ -34,6 +36,9 @@
 using event_ptr = std::unique_ptr<event, event_deleter>;
 using evbuffer_ptr = std::unique_ptr<evbuffer, evbuffer_deleter>;
 
+// The clock that the loop passes to decisions as `now`.
+instant current_time();
+
 timeval to_timeval(std::chrono::milliseconds time);
 
 // Runs `work` once from the loop, after the current callback has returned.
--- a/net/router_process.cc
+++ b/net/router_process.cc
@@ -252,10 +252,6 @@
 
 }  // namespace
 
-instant current_time() {
-  return std::chrono::steady_clock::now();
-}
-
 int run_router(const router_settings& settings, const std::string& settings_path) {
   std::signal(SIGPIPE, SIG_IGN);
   start_logging(settings.name, settings.log_level);
--- a/net/router_state.h
+++ b/net/router_state.h
@@ -145,8 +145,6 @@
   int exit_status = 0;
 };
 
-instant current_time();
-
 // call_intake.cc
 void handle_call(router_state& router, const std::shared_ptr<http_exchange>& exchange);
 
