--- a/scripts/process_tests/planned_stop.sh
+++ b/scripts/process_tests/planned_stop.sh
@@ -20,5 +20,6 @@
 cat "$WORK/load.txt"
 [ "$(field cut "$WORK/load.txt")" -eq 0 ] || fail "answers were cut"
 [ "$(field unanswered "$WORK/load.txt")" -eq 0 ] || fail "calls were lost"
+[ "$(field lost_sends "$WORK/load.txt")" -eq 0 ] || fail "a call that was read got no answer"
 [ "$(ledger | grep -o 'repeated_ids=[0-9]*')" = repeated_ids=0 ] || fail "ledger: $(ledger)"
 echo passed
