Admission: weigh the queue against the slack beside the call's own prompt

Cause: a call was refused if its time to the first token, its own prompt included, exceeded a part of the route's aim.

Change: the time for which a call waits on others is held against a part of what the aim leaves beside its own prompt; a call that need not wait is taken on. The test of that load fails with the old rule.

--- a/core/admission.cc
+++ b/core/admission.cc
@@ -9,8 +9,8 @@
   return std::chrono::duration_cast<duration>(time * factor);
 }
 
-double aim_part(double position) {
-  return position < 1 ? aim_part_below : std::max(least_aim_part, aim_part_at / position);
+double slack_part(double position) {
+  return position < 1 ? slack_part_below : std::max(least_slack_part, slack_part_at / position);
 }
 
 }  // namespace
@@ -21,16 +21,18 @@
 }
 
 admission admit(const admission_input& input) {
-  const duration first_token = input.waited + input.predicted;
-  const duration limit = std::min(scaled(input.aim, aim_part(input.share_position)),
-                                  scaled(input.left + input.waited, usable_part));
-  if (first_token <= limit) {
+  const duration slack = std::max(duration{0}, input.aim - input.own);
+  const duration usable = scaled(input.left, usable_part) - input.own;
+  const duration limit =
+      std::min(scaled(slack, slack_part(input.share_position)) - input.waited, usable);
+  const bool idle = input.queued <= duration{0};
+  if (input.queued <= limit || (idle && usable >= duration{0})) {
     return {};
   }
   admission verdict;
   verdict.admitted = false;
   verdict.why = input.share_position >= 1 ? refusal::over_share : refusal::overloaded;
-  verdict.retry_after = retry_after(first_token - limit, input.left, input.jitter);
+  verdict.retry_after = retry_after(input.queued - limit, input.left, input.jitter);
   return verdict;
 }
 
--- a/core/admission.h
+++ b/core/admission.h
@@ -2,16 +2,19 @@
 //
 // A call is refused at once if no engine is expected to begin it in time. What
 // counts as in time depends on the organisation's share while not all can be served:
-// one that has had its share must be begun in a smaller part of the route's aim. The
-// parts are small because short queues leave engines time to write and memory to keep
-// shared parts: more callers are served than with longer ones.
+// the call may wait for others in a part of the slack, which is what the route's aim
+// leaves beside reading the call's own prompt. The part is smaller for one that has
+// had its share. The parts are small because short queues leave engines time to write
+// and memory to keep shared parts: more callers are served than with longer ones.
+// A call that need not wait is always taken on if it can be answered at all.
 //
-//   admission verdict = admit({.predicted = 420ms, .waited = 3ms, ...});
+//   admission verdict = admit({.queued = 80ms, .own = 120ms, .waited = 3ms, ...});
 //   if (!verdict.admitted) refuse with verdict.retry_after
 //
 // Load patterns answered: a burst (the queue stays shorter than the aim, so that what
 // is served is on time), one organisation that sends many times its usual (the others
-// keep their share), clients that repeat at once (refused without waiting).
+// keep their share), clients that repeat at once (refused without waiting), prompts of
+// very different size (a large one is not refused for the time that it takes itself).
 // Thread safety: pure function.
 #pragma once
 
@@ -20,16 +23,17 @@
 
 namespace peridot {
 
-inline constexpr double aim_part_below = 0.9;  // below its share, or while all can be served
-inline constexpr double aim_part_at = 0.5;     // has just had its share; then less in proportion
-inline constexpr double least_aim_part = 0.2;  // an engine that is nearly idle serves anybody
-inline constexpr double usable_part = 0.85;    // of the caller's time, for the first token
+inline constexpr double slack_part_below = 0.85;  // below its share, or while all can be served
+inline constexpr double slack_part_at = 0.3;      // has just had its share; then less in proportion
+inline constexpr double least_slack_part = 0.05;
+inline constexpr double usable_part = 0.85;  // of the caller's time, for the first token
 inline constexpr milliseconds least_retry_after{120};
 inline constexpr double most_retry_part =
     0.32;  // of the time left; the platform's bound is a third
 
 struct admission_input {
-  duration predicted{};       // from now to the first token
+  duration queued{};          // expected wait at the engine behind other calls
+  duration own{};             // then to the first token, reading the prompt included
   duration waited{};          // since the call arrived
   duration aim{};             // the route's
   duration left{};            // until it is given up
--- a/core/placement.cc
+++ b/core/placement.cc
@@ -187,7 +187,8 @@
     choice.unread_ahead = unread_at(load, now);
     choice.running = running_at(load, now);
     const double read_ms = std::max(0.0, what.tokens_in - choice.kept_tokens) / rate;
-    choice.first_token_ms = base_of(load) + choice.unread_ahead / rate + read_ms;
+    choice.queue_ms = base_of(load) - first_token_base_ms + choice.unread_ahead / rate;
+    choice.first_token_ms = first_token_base_ms + choice.queue_ms + read_ms;
     double cost = engine_cost(where, {.read_ms = read_ms,
                                       .wait_ms = choice.first_token_ms,
                                       .comfortable_ms = comfortable_ms,
--- a/core/placement.h
+++ b/core/placement.h
@@ -93,6 +93,7 @@
 struct placement {
   const candidate* chosen = nullptr;  // null: there are no candidates
   double first_token_ms = 0;          // predicted, from now
+  double queue_ms = 0;                // of it, waiting for other calls that are read or written
   double kept_tokens = 0;             // of the prompt, expected in memory there
   double unread_ahead = 0;            // waiting to be read there
   int running = 0;                    // of all routers
--- a/core/testing/shares_and_members_test.cc
+++ b/core/testing/shares_and_members_test.cc
@@ -92,7 +92,8 @@
 }
 
 TEST_CASE("load pattern: a burst; what cannot begin in time is refused at once") {
-  admission_input input{.predicted = milliseconds{400},
+  admission_input input{.queued = milliseconds{360},
+                        .own = milliseconds{40},
                         .waited = milliseconds{5},
                         .aim = milliseconds{600},
                         .left = milliseconds{5'000},
@@ -100,7 +101,7 @@
                         .jitter = 0.5};
   CHECK(admit(input).admitted);
   SUBCASE("later than the aim: refused, and told when to come back") {
-    input.predicted = milliseconds{1'500};
+    input.queued = milliseconds{1'500};
     const admission verdict = admit(input);
     CHECK_FALSE(verdict.admitted);
     CHECK(verdict.why == refusal::overloaded);
@@ -110,14 +111,14 @@
   SUBCASE("the more of its share it has had, the sooner it is refused; nobody begins late") {
     const std::vector<double> positions = {8, 1.3, 0.4, 0};
     std::vector<int> admitted(positions.size());
-    for (int predicted = 0; predicted < 1'500; predicted += 5) {
-      input.predicted = milliseconds{predicted};
+    for (int queued = 0; queued < 1'500; queued += 5) {
+      input.queued = milliseconds{queued};
       bool before = false;
       for (std::size_t index = 0; index < positions.size(); ++index) {
         input.share_position = positions[index];
         const admission verdict = admit(input);
         CHECK((verdict.admitted || !before));
-        CHECK((!verdict.admitted || input.waited + input.predicted <= input.aim));
+        CHECK((!verdict.admitted || input.waited + input.queued + input.own <= input.aim));
         CHECK((verdict.admitted ||
                verdict.why == (positions[index] >= 1 ? refusal::over_share : refusal::overloaded)));
         before = verdict.admitted;
@@ -134,8 +135,30 @@
   SUBCASE("nobody is kept waiting for what comes after its deadline") {
     input.aim = milliseconds{10'000};
     input.left = milliseconds{1'000};
-    input.predicted = milliseconds{900};
+    input.queued = milliseconds{900};
     CHECK_FALSE(admit(input).admitted);
+    input.queued = milliseconds{0};
+    input.own = milliseconds{900};
+    CHECK_FALSE(admit(input).admitted);
+  }
+  SUBCASE("a large prompt is not refused for the time that reading it takes") {
+    for (double position : {0.0, 1.5, 8.0}) {
+      input.share_position = position;
+      input.own = milliseconds{300};
+      input.queued = milliseconds{0};
+      CHECK(admit(input).admitted);
+      // It may wait for others half as long as a small one, which has twice its slack.
+      int large = 0;
+      int small = 0;
+      for (int queued = 0; queued < 600; ++queued) {
+        input.queued = milliseconds{queued};
+        input.own = milliseconds{300};
+        large += admit(input).admitted ? 1 : 0;
+        input.own = milliseconds{40};
+        small += admit(input).admitted ? 1 : 0;
+      }
+      CHECK(large * 2 >= small - 20);
+    }
   }
   SUBCASE("the time to come back is always one that the caller can use") {
     std::mt19937 random(3);
--- a/net/call_placement.cc
+++ b/net/call_placement.cc
@@ -138,7 +138,8 @@
     return true;
   }
   call.position = share_position(call.router->shares, call.caller);
-  const admission verdict = admit({.predicted = from_ms(predicted),
+  const admission verdict = admit({.queued = from_ms(where.queue_ms),
+                                   .own = from_ms(predicted - where.queue_ms),
                                    .waited = now - call.arrived,
                                    .aim = call.way->target_latency,
                                    .left = call.give_up_at - now,
