Give each subsystem its folder; remove what nothing reads

core/ becomes base, settings, fleet, routing and calls, with fleet.h and routing.h as manuals; the router's process moves from net/ to router/, so that the adapter depends on net/ and the router on the adapter. The stable hash has a file of its own.

Removed: priorities (decoded, never read), to_hex(), a second trim(). forget_peers() is wired into the gossip: connections to routers that are long gone were kept up to the limit; test in mesh_test.cc. The version stands in the start line.

--- a/core/check.cc
+++ b/core/base/check.cc
@@ -1,4 +1,4 @@
-#include "core/check.h"
+#include "core/base/check.h"
 
 #include <cstdio>
 #include <cstdlib>
--- a/core/ip_endpoint.cc
+++ b/core/base/ip_endpoint.cc
@@ -1,4 +1,4 @@
-#include "core/ip_endpoint.h"
+#include "core/base/ip_endpoint.h"
 
 #include <arpa/inet.h>
 
--- a/core/log_lines.cc
+++ b/core/base/log_lines.cc
@@ -1,4 +1,4 @@
-#include "core/log_lines.h"
+#include "core/base/log_lines.h"
 
 #include <algorithm>
 #include <cctype>
--- a/core/mac.cc
+++ b/core/base/mac.cc
@@ -1,4 +1,4 @@
-#include "core/mac.h"
+#include "core/base/mac.h"
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
@@ -6,7 +6,7 @@
 
 #include <array>
 
-#include "core/check.h"
+#include "core/base/check.h"
 
 namespace peridot {
 
@@ -28,16 +28,4 @@
   return CRYPTO_memcmp(expected.data(), mac.data(), mac_bytes) == 0;
 }
 
-std::string to_hex(std::string_view bytes) {
-  static constexpr std::string_view digits = "0123456789abcdef";
-  std::string text;
-  text.reserve(bytes.size() * 2);
-  for (char byte : bytes) {
-    const unsigned char value = static_cast<unsigned char>(byte);
-    text.push_back(digits[value >> 4]);
-    text.push_back(digits[value & 15]);
-  }
-  return text;
-}
-
 }  // namespace peridot
--- a/core/mac.h
+++ b/core/base/mac.h
@@ -16,6 +16,4 @@
 // Compares in constant time. False for a code of another length.
 bool check_mac(std::string_view key, std::string_view data, std::string_view mac);
 
-std::string to_hex(std::string_view bytes);
-
 }  // namespace peridot
--- a/core/name_text.cc
+++ b/core/base/name_text.cc
@@ -1,4 +1,4 @@
-#include "core/name_text.h"
+#include "core/base/name_text.h"
 
 namespace peridot {
 namespace {
--- a/core/peer_messages.cc
+++ b/core/base/stable_hash.cc
@@ -1,4 +1,4 @@
-#include "core/peer_messages.h"
+#include "core/base/stable_hash.h"
 
 #include <string_view>
 
--- a/core/call.cc
+++ b/core/calls/call.cc
@@ -1,4 +1,4 @@
-#include "core/call.h"
+#include "core/calls/call.h"
 
 namespace peridot {
 
--- a/core/call.h
+++ b/core/calls/call.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "core/types.h"
+#include "core/base/types.h"
 
 namespace peridot {
 
--- a/core/event_stream.cc
+++ b/core/calls/event_stream.cc
@@ -1,4 +1,4 @@
-#include "core/event_stream.h"
+#include "core/calls/event_stream.h"
 
 #include <charconv>
 
--- a/core/membership.cc
+++ b/core/fleet/membership.cc
@@ -1,4 +1,4 @@
-#include "core/membership.h"
+#include "core/fleet/membership.h"
 
 #include <algorithm>
 
--- a/core/membership.h
+++ b/core/fleet/membership.h
@@ -16,7 +16,7 @@
 #include <map>
 #include <vector>
 
-#include "core/types.h"
+#include "core/base/types.h"
 
 namespace peridot {
 
--- a/core/peer_messages.h
+++ b/core/fleet/peer_messages.h
@@ -6,9 +6,8 @@
 #pragma once
 
 #include <cstdint>
-#include <string_view>
 
-#include "core/types.h"
+#include "core/base/types.h"
 #include "proto/peer.pb.h"
 
 namespace peridot {
@@ -23,7 +22,4 @@
   wire::peer_message message;  // only the body is set; the mesh adds the rest
 };
 
-// FNV-1a over the bytes, finished by a 64-bit mix. Not cryptographic.
-std::uint64_t stable_hash(std::string_view bytes, std::uint64_t seed = 0);
-
 }  // namespace peridot
--- a/core/published.cc
+++ b/core/fleet/published.cc
@@ -1,4 +1,4 @@
-#include "core/published.h"
+#include "core/fleet/published.h"
 
 #include <algorithm>
 
--- a/core/published.h
+++ b/core/fleet/published.h
@@ -21,7 +21,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/types.h"
+#include "core/base/types.h"
 
 namespace peridot {
 
@@ -42,7 +42,6 @@
   milliseconds timeout{30'000};        // longest time a caller is kept waiting
   milliseconds target_latency{1'000};  // answers within it earn full credit
   milliseconds gap_target{0};          // longest pause between events; 0: none stated
-  int priority = 0;                    // 0 is the highest
   std::vector<pool_share> pools;       // at least one
   int max_attempts = 1;                // targets that one call may be sent to
   bool is_public = false;              // needs no key
@@ -68,7 +67,6 @@
 struct organisation {
   organisation_name name;
   std::vector<std::string> keys;
-  int priority = -1;  // -1: the route's counts
 };
 
 // What a caller may send.
--- a/core/admission.cc
+++ b/core/routing/admission.cc
@@ -1,4 +1,4 @@
-#include "core/admission.h"
+#include "core/routing/admission.h"
 
 #include <algorithm>
 
--- a/core/admission.h
+++ b/core/routing/admission.h
@@ -18,8 +18,8 @@
 // Thread safety: pure function.
 #pragma once
 
-#include "core/call.h"
-#include "core/types.h"
+#include "core/base/types.h"
+#include "core/calls/call.h"
 
 namespace peridot {
 
--- a/core/cold_gate.cc
+++ b/core/routing/cold_gate.cc
@@ -1,9 +1,9 @@
-#include "core/cold_gate.h"
+#include "core/routing/cold_gate.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "core/peer_messages.h"
+#include "core/base/stable_hash.h"
 
 namespace peridot {
 namespace {
--- a/core/cold_gate.h
+++ b/core/routing/cold_gate.h
@@ -14,7 +14,7 @@
 #include <map>
 #include <vector>
 
-#include "core/types.h"
+#include "core/base/types.h"
 
 namespace peridot {
 
--- a/core/fair_share.cc
+++ b/core/routing/fair_share.cc
@@ -1,9 +1,9 @@
-#include "core/fair_share.h"
+#include "core/routing/fair_share.h"
 
 #include <algorithm>
 #include <limits>
 
-#include "core/peer_messages.h"
+#include "core/base/stable_hash.h"
 
 namespace peridot {
 namespace {
--- a/core/placement.cc
+++ b/core/routing/placement.cc
@@ -1,9 +1,9 @@
-#include "core/placement.h"
+#include "core/routing/placement.h"
 
 #include <algorithm>
 
-#include "core/check.h"
-#include "core/peer_messages.h"
+#include "core/base/check.h"
+#include "core/base/stable_hash.h"
 
 namespace peridot {
 namespace {
--- a/core/placement.h
+++ b/core/routing/placement.h
@@ -32,8 +32,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/call.h"
-#include "core/types.h"
+#include "core/base/types.h"
+#include "core/calls/call.h"
 
 namespace peridot {
 
--- a/core/retry_budget.cc
+++ b/core/routing/retry_budget.cc
@@ -1,4 +1,4 @@
-#include "core/retry_budget.h"
+#include "core/routing/retry_budget.h"
 
 namespace peridot {
 namespace {
--- a/core/suspects.cc
+++ b/core/routing/suspects.cc
@@ -1,8 +1,8 @@
-#include "core/suspects.h"
+#include "core/routing/suspects.h"
 
 #include <algorithm>
 
-#include "core/peer_messages.h"
+#include "core/base/stable_hash.h"
 
 namespace peridot {
 namespace {
--- a/core/target_health.cc
+++ b/core/routing/target_health.cc
@@ -1,4 +1,4 @@
-#include "core/target_health.h"
+#include "core/routing/target_health.h"
 
 #include <algorithm>
 
--- a/core/target_health.h
+++ b/core/routing/target_health.h
@@ -13,7 +13,7 @@
 
 #include <map>
 
-#include "core/types.h"
+#include "core/base/types.h"
 
 namespace peridot {
 
--- a/core/document_file.cc
+++ b/core/settings/document_file.cc
@@ -1,4 +1,4 @@
-#include "core/document_file.h"
+#include "core/settings/document_file.h"
 
 #include <cerrno>
 #include <cstring>
--- a/core/document_file.h
+++ b/core/settings/document_file.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "core/document_error.h"
+#include "core/settings/document_error.h"
 
 namespace peridot {
 
--- a/core/document_reader.cc
+++ b/core/settings/document_reader.cc
@@ -1,10 +1,10 @@
-#include "core/document_reader.h"
+#include "core/settings/document_reader.h"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-#include "core/ip_endpoint.h"
+#include "core/base/ip_endpoint.h"
 
 namespace peridot {
 namespace {
--- a/core/document_reader.h
+++ b/core/settings/document_reader.h
@@ -23,9 +23,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/document_error.h"
-#include "core/document_tree.h"
-#include "core/name_text.h"
+#include "core/base/name_text.h"
+#include "core/settings/document_error.h"
+#include "core/settings/document_tree.h"
 
 namespace peridot {
 
--- a/core/document_tree.cc
+++ b/core/settings/document_tree.cc
@@ -10,12 +10,12 @@
 //
 // The library's test for spaces beyond ASCII declares unreachable what most letters
 // beyond ASCII reach. There it answers "not a space" instead.
-#include "core/document_tree.h"
+#include "core/settings/document_tree.h"
 
 #include <algorithm>
 #include <sstream>
 
-#include "core/name_text.h"
+#include "core/base/name_text.h"
 
 namespace peridot {
 namespace {
--- a/core/document_tree.h
+++ b/core/settings/document_tree.h
@@ -18,7 +18,7 @@
 #include <string_view>
 #include <vector>
 
-#include "core/document_error.h"
+#include "core/settings/document_error.h"
 
 namespace peridot {
 
--- a/core/settings.cc
+++ b/core/settings/settings.cc
@@ -1,8 +1,8 @@
-#include "core/settings.h"
+#include "core/settings/settings.h"
 
-#include "core/document_file.h"
-#include "core/document_reader.h"
-#include "core/document_tree.h"
+#include "core/settings/document_file.h"
+#include "core/settings/document_reader.h"
+#include "core/settings/document_tree.h"
 
 namespace peridot {
 namespace {
--- a/core/settings.h
+++ b/core/settings/settings.h
@@ -17,8 +17,8 @@
 #include <string_view>
 #include <vector>
 
-#include "core/document_error.h"
-#include "core/types.h"
+#include "core/base/types.h"
+#include "core/settings/document_error.h"
 
 namespace peridot {
 
--- a/core/testing/placement_test.cc
+++ b/core/testing/placement_test.cc
@@ -1,4 +1,4 @@
-#include "core/placement.h"
+#include "core/routing/placement.h"
 
 #include <doctest/doctest.h>
 
--- a/core/testing/published_test.cc
+++ b/core/testing/published_test.cc
@@ -1,4 +1,4 @@
-#include "core/published.h"
+#include "core/fleet/published.h"
 
 #include <doctest/doctest.h>
 
@@ -25,7 +25,7 @@
   engines.name = pool_name{"engines"};
   engines.cold_time = milliseconds{3'000};
   config.pools[engines.name] = engines;
-  config.organisations = {{organisation_name{"one"}, {"key-1", "key-2"}, 1}};
+  config.organisations = {{organisation_name{"one"}, {"key-1", "key-2"}}};
   return finish_config(std::move(config));
 }
 
--- a/core/testing/settings_test.cc
+++ b/core/testing/settings_test.cc
@@ -1,4 +1,4 @@
-#include "core/settings.h"
+#include "core/settings/settings.h"
 
 #include <doctest/doctest.h>
 
--- a/core/testing/shares_and_members_test.cc
+++ b/core/testing/shares_and_members_test.cc
@@ -7,10 +7,10 @@
 #include <set>
 #include <string>
 
-#include "core/admission.h"
-#include "core/fair_share.h"
-#include "core/membership.h"
-#include "core/peer_messages.h"
+#include "core/base/stable_hash.h"
+#include "core/fleet/membership.h"
+#include "core/routing/admission.h"
+#include "core/routing/fair_share.h"
 
 using namespace peridot;
 
--- a/core/testing/streams_and_budgets_test.cc
+++ b/core/testing/streams_and_budgets_test.cc
@@ -4,11 +4,11 @@
 #include <string>
 #include <vector>
 
-#include "core/cold_gate.h"
-#include "core/event_stream.h"
-#include "core/retry_budget.h"
-#include "core/suspects.h"
-#include "core/target_health.h"
+#include "core/calls/event_stream.h"
+#include "core/routing/cold_gate.h"
+#include "core/routing/retry_budget.h"
+#include "core/routing/suspects.h"
+#include "core/routing/target_health.h"
 
 using namespace peridot;
 
--- a/net/error.h
+++ b/net/error.h
@@ -5,7 +5,7 @@
 //   return setup_error("bind", address, "address already in use");
 //
 // Decisions about requests do not use these: their outcomes are values of
-// core/types.h.
+// core/base/types.h.
 #pragma once
 
 #include <boost/leaf/error.hpp>
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -8,8 +8,8 @@
 #include <cstring>
 #include <utility>
 
-#include "core/check.h"
-#include "core/ip_endpoint.h"
+#include "core/base/check.h"
+#include "core/base/ip_endpoint.h"
 
 namespace peridot {
 namespace {
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -32,7 +32,7 @@
 #include <string>
 #include <string_view>
 
-#include "core/types.h"
+#include "core/base/types.h"
 #include "net/http_message.h"
 #include "net/loop.h"
 
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -35,7 +35,7 @@
 #include <string_view>
 #include <vector>
 
-#include "core/published.h"
+#include "core/fleet/published.h"
 #include "net/error.h"
 #include "net/http_message.h"
 #include "net/loop.h"
--- a/net/http_message.cc
+++ b/net/http_message.cc
@@ -35,16 +35,6 @@
                                       [](unsigned char digit) { return std::isdigit(digit) != 0; });
 }
 
-std::string_view trim(std::string_view text) {
-  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-    text.remove_prefix(1);
-  }
-  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-    text.remove_suffix(1);
-  }
-  return text;
-}
-
 std::string read_status_line(std::string_view line, message_head& head) {
   const bool fits = line.size() >= status_at + 3 &&
                     (line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ")) &&
@@ -191,6 +181,16 @@
 
 }  // namespace
 
+std::string_view trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
 std::string_view find_header(const std::vector<http_header>& headers, std::string_view name) {
   auto found = std::find_if(headers.begin(), headers.end(), [name](const http_header& header) {
     return equal_ignoring_case(header.name, name);
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -38,6 +38,9 @@
 // True if a comma-separated list holds the token, case ignored.
 bool has_token(std::string_view list, std::string_view token);
 
+// Without spaces and tabs at both ends.
+std::string_view trim(std::string_view text);
+
 bool equal_ignoring_case(std::string_view left, std::string_view right);
 
 // True for headers that concern one connection only, and for those that the
--- a/net/loop.h
+++ b/net/loop.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <string_view>
 
-#include "core/types.h"
+#include "core/base/types.h"
 
 namespace peridot {
 
--- a/net/mesh.cc
+++ b/net/mesh.cc
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include "core/mac.h"
+#include "core/base/mac.h"
 #include "net/log.h"
 
 namespace peridot {
@@ -197,7 +197,7 @@
   }
 }
 
-void forget_peers(mesh& peers, const std::map<router_address, bool>& keep) {
+void forget_peers(mesh& peers, const std::set<router_address>& keep) {
   std::erase_if(peers.peers, [&keep](const std::pair<const router_address, mesh_peer>& entry) {
     return !keep.contains(entry.first);
   });
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -21,12 +21,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <zmq.hpp>
 
-#include "core/peer_messages.h"
-#include "core/types.h"
+#include "core/base/types.h"
+#include "core/fleet/peer_messages.h"
 #include "net/error.h"
 #include "net/loop.h"
 
@@ -87,7 +88,7 @@
 void receive_messages(mesh& peers);
 
 // Closes the connections to peers that are not in `keep`.
-void forget_peers(mesh& peers, const std::map<router_address, bool>& keep);
+void forget_peers(mesh& peers, const std::set<router_address>& keep);
 
 // Opens a sealed message. Empty, and the counter that says why raised, if it is
 // not acceptable. Separate from the socket so that it can be fuzzed.
--- a/net/metrics.h
+++ b/net/metrics.h
@@ -19,7 +19,7 @@
 #include <utility>
 #include <vector>
 
-#include "core/types.h"
+#include "core/base/types.h"
 
 namespace peridot {
 
--- a/net/testing/http_edges_test.cc
+++ b/net/testing/http_edges_test.cc
@@ -1,7 +1,7 @@
 // Both HTTP sides over real sockets, against peers that speak raw bytes.
 #include <doctest/doctest.h>
 
-#include "core/ip_endpoint.h"
+#include "core/base/ip_endpoint.h"
 #include "net/http_client.h"
 #include "net/http_listener.h"
 #include "net/log.h"
--- a/net/testing/mesh_test.cc
+++ b/net/testing/mesh_test.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <csignal>
 
-#include "core/mac.h"
+#include "core/base/mac.h"
 #include "net/testing/raw_peers.h"
 
 namespace peridot {
@@ -199,6 +199,30 @@
   CHECK(bench.receiver->counters.sent + bench.receiver->counters.not_sent == 20'000);
 }
 
+TEST_CASE("connections to peers that are gone are closed") {
+  mesh_bench bench;
+  start_bench(bench);
+  const router_address stays{testing::unused_address()};
+  const router_address goes{testing::unused_address()};
+  for (const router_address& peer : {stays, goes}) {
+    outgoing_message message;
+    message.to = peer;
+    message.message.mutable_gossip();
+    send_message(*bench.receiver, message);
+  }
+  REQUIRE(bench.receiver->peers.size() == 2);
+  forget_peers(*bench.receiver, {stays});
+  CHECK(bench.receiver->peers.size() == 1);
+  CHECK(bench.receiver->peers.contains(stays));
+  SUBCASE("one that comes back is connected to again") {
+    outgoing_message message;
+    message.to = goes;
+    message.message.mutable_gossip();
+    send_message(*bench.receiver, message);
+    CHECK(bench.receiver->peers.size() == 2);
+  }
+}
+
 TEST_CASE("a long queue of messages is read without nesting, and in order") {
   mesh_bench bench;
   start_bench(bench);
--- a/net/call_answer.cc
+++ b/router/call_answer.cc
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 
-#include "core/check.h"
-#include "net/call_internal.h"
+#include "core/base/check.h"
 #include "net/log.h"
 #include "platform/wire_headers.h"
+#include "router/call_internal.h"
 
 namespace peridot {
 namespace {
--- a/net/call_crashes.cc
+++ b/router/call_crashes.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "net/call_internal.h"
 #include "net/log.h"
+#include "router/call_internal.h"
 
 namespace peridot {
 namespace {
--- a/net/call_end.cc
+++ b/router/call_end.cc
@@ -2,9 +2,9 @@
 
 #include <cstdio>
 
-#include "core/check.h"
-#include "net/call_internal.h"
+#include "core/base/check.h"
 #include "net/log.h"
+#include "router/call_internal.h"
 
 namespace peridot {
 namespace {
--- a/net/call_intake.cc
+++ b/router/call_intake.cc
@@ -2,9 +2,8 @@
 
 #include <algorithm>
 
-#include "core/admission.h"
-#include "net/call_internal.h"
 #include "platform/wire_headers.h"
+#include "router/call_internal.h"
 
 namespace peridot {
 namespace {
@@ -100,7 +99,6 @@
   call.config = config;
   call.way = way;
   call.caller = caller == nullptr ? organisation_name{} : caller->name;
-  call.priority = caller != nullptr && caller->priority >= 0 ? caller->priority : way->priority;
   call.fingerprint = fingerprint_of(call.caller, path_of(exchange->head.target), exchange->body);
   call.arrived = exchange->first_byte;
   call.caller_leaves_at = call.arrived + call.request.wait.value_or(way->timeout);
--- a/net/call_internal.h
+++ b/router/call_internal.h
@@ -11,7 +11,7 @@
 
 #include <string>
 
-#include "net/router_state.h"
+#include "router/router_state.h"
 
 namespace peridot {
 
--- a/net/call_placement.cc
+++ b/router/call_placement.cc
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 
-#include "core/admission.h"
-#include "core/check.h"
-#include "core/peer_messages.h"
-#include "net/call_internal.h"
+#include "core/base/check.h"
+#include "core/base/stable_hash.h"
 #include "net/log.h"
+#include "router/call_internal.h"
 
 namespace peridot {
 namespace {
--- a/net/pages.cc
+++ b/router/pages.cc
@@ -4,8 +4,8 @@
 
 #include "net/http_message.h"
 #include "net/log.h"
-#include "net/router_state.h"
 #include "platform/wire_headers.h"
+#include "router/router_state.h"
 
 namespace peridot {
 namespace {
--- a/net/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 
-#include "core/peer_messages.h"
+#include "core/base/stable_hash.h"
+#include "core/fleet/peer_messages.h"
 #include "net/log.h"
-#include "net/router_state.h"
+#include "router/router_state.h"
 
 namespace peridot {
 namespace {
@@ -40,6 +41,14 @@
   }
 }
 
+std::set<router_address> known_peers(const membership_table& members) {
+  std::set<router_address> result;
+  for (const std::pair<const router_address, peer_row>& peer : members.peers) {
+    result.insert(peer.first);
+  }
+  return result;
+}
+
 void add_loads(router_state& router, wire::gossip& gossip) {
   for (std::pair<const target_name, target_load>& entry : router.loads.targets) {
     target_load& load = entry.second;
@@ -213,6 +222,7 @@
   gossip.set_target_revision(router.store.newest_target_revision);
   if (router.gossip_round++ % rounds_per_introduction == 0) {
     add_peers(router, gossip, now);
+    forget_peers(*router.peers, known_peers(router.members));
   }
   add_loads(router, gossip);
   add_organisations(router, gossip);
--- a/net/router_process.cc
+++ b/router/router_process.cc
@@ -1,12 +1,13 @@
-#include "net/router_process.h"
+#include "router/router_process.h"
 
 #include <csignal>
 #include <random>
 #include <utility>
 
-#include "core/ip_endpoint.h"
+#include "core/base/ip_endpoint.h"
+#include "core/base/version.h"
 #include "net/log.h"
-#include "net/router_state.h"
+#include "router/router_state.h"
 
 namespace peridot {
 namespace {
@@ -270,7 +271,8 @@
   }
   open_metrics(router);
   log_line(log_part::process, log_level::info,
-           "Started. callers=" + settings.callers_address + " mesh=" + settings.mesh_address.value +
+           std::string("Started. version=") + program_version +
+               " callers=" + settings.callers_address + " mesh=" + settings.mesh_address.value +
                " domain=" + settings.domain.value +
                " incarnation=" + std::to_string(router.self.incarnation));
   platform::start_store_client(router.store_reader, router.base.get(), settings.store_address,
--- a/net/router_process.h
+++ b/router/router_process.h
@@ -11,7 +11,7 @@
 
 #include <string>
 
-#include "core/settings.h"
+#include "core/settings/settings.h"
 
 namespace peridot {
 
--- a/net/router_state.h
+++ b/router/router_state.h
@@ -1,8 +1,8 @@
 // What one router process holds: its tables, its sockets, the calls in progress.
 //
 // Internal to net/. The tables belong to core/ and platform/; net/call_*.cc move
-// calls, net/peer_exchange.cc exchanges gossip, net/pages.cc answers operators,
-// net/router_process.cc starts and stops.
+// calls, router/peer_exchange.cc exchanges gossip, router/pages.cc answers operators,
+// router/router_process.cc starts and stops.
 // Thread safety: none; one loop.
 #pragma once
 
@@ -13,17 +13,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/call.h"
-#include "core/cold_gate.h"
-#include "core/event_stream.h"
-#include "core/fair_share.h"
-#include "core/membership.h"
-#include "core/placement.h"
-#include "core/published.h"
-#include "core/retry_budget.h"
-#include "core/settings.h"
-#include "core/suspects.h"
-#include "core/target_health.h"
+#include "core/calls/call.h"
+#include "core/calls/event_stream.h"
+#include "core/fleet/fleet.h"
+#include "core/routing/routing.h"
+#include "core/settings/settings.h"
 #include "net/http_client.h"
 #include "net/http_listener.h"
 #include "net/loop.h"
@@ -63,7 +57,6 @@
   std::shared_ptr<const fleet_config> config;  // in force when it arrived
   const route* way = nullptr;                  // of `config`
   organisation_name caller;
-  int priority = 0;
   std::uint64_t fingerprint = 0;
   instant arrived{};
   instant give_up_at{};  // the caller's time or the route's is over
--- a/standins/peridot_load_main.cc
+++ b/standins/peridot_load_main.cc
@@ -13,7 +13,7 @@
 #include <map>
 #include <random>
 
-#include "core/event_stream.h"
+#include "core/calls/event_stream.h"
 #include "net/http_client.h"
 
 ABSL_FLAG(std::vector<std::string>, routers, {}, "Callers' addresses of the routers.");
--- a/tools/peridot_router_main.cc
+++ b/tools/peridot_router_main.cc
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "core/settings.h"
-#include "net/router_process.h"
+#include "core/settings/settings.h"
+#include "router/router_process.h"
 
 ABSL_FLAG(std::string, settings, "", "Path of the settings file (TOML). Required.");
 
--- a/tools/peridotctl_main.cc
+++ b/tools/peridotctl_main.cc
@@ -9,9 +9,9 @@
 #include <fstream>
 #include <iostream>
 
-#include "core/ip_endpoint.h"
-#include "core/log_lines.h"
-#include "core/settings.h"
+#include "core/base/ip_endpoint.h"
+#include "core/base/log_lines.h"
+#include "core/settings/settings.h"
 #include "net/http_client.h"
 
 ABSL_FLAG(std::string, call, "", "timeline: only lines of this call.");
