--- a/core/calls/call.cc
+++ b/core/calls/call.cc
@@ -20,6 +20,8 @@
       return "no_target";
     case refusal::overloaded:
       return "overloaded";
+    case refusal::instance_busy:
+      return "instance_busy";
     case refusal::over_share:
       return "over_share";
     case refusal::deadline:
--- a/core/calls/call.h
+++ b/core/calls/call.h
@@ -46,6 +46,7 @@
   stopping,          // this router is shutting down
   no_target,         // none of the pool is usable
   overloaded,        // no target can begin it in time
+  instance_busy,     // this router is behind; another one is not
   over_share,        // its organisation has had its share
   deadline,          // the caller's time or the route's is over
   suspect,           // this request has crashed targets
--- a/core/fleet/membership.cc
+++ b/core/fleet/membership.cc
@@ -19,12 +19,22 @@
   return row.incarnation != 0;
 }
 
+void begin_cycle(membership_table& table, instant now) {
+  table.waiting = live_peers(table, now);
+  const std::size_t rounds = (table.waiting.size() + round_peers - 1) / round_peers;
+  const duration cycle = table.interval * std::max<std::size_t>(1, rounds);
+  table.news_life = std::max<duration>(
+      least_news_life, std::chrono::duration_cast<duration>(cycle * news_life_cycles));
+}
+
 }  // namespace
 
 membership_table make_membership(const router_identity& self,
-                                 const std::vector<router_address>& seeds, instant now) {
+                                 const std::vector<router_address>& seeds, duration interval,
+                                 instant now) {
   membership_table table;
   table.self = self;
+  table.interval = interval;
   table.seeds = seeds;
   for (const router_address& seed : seeds) {
     learn(table, seed, now);
@@ -48,12 +58,22 @@
   row.incarnation = from.incarnation;
   row.domain = domain;
   row.leaving = leaving;
+  row.introduced = row.introduced && !news;
   row.last_heard = now;
+  row.alive_until = now + table.news_life;
   return news;
 }
 
 bool is_alive(const peer_row& row, instant now) {
-  return was_heard(row) && now - row.last_heard <= alive_for;
+  return was_heard(row) && now <= row.alive_until;
+}
+
+std::size_t live_count(const membership_table& table, instant now) {
+  return static_cast<std::size_t>(
+      std::count_if(table.peers.begin(), table.peers.end(),
+                    [now](const std::pair<const router_address, peer_row>& entry) {
+                      return is_alive(entry.second, now);
+                    }));
 }
 
 std::vector<router_address> live_peers(const membership_table& table, instant now) {
@@ -76,25 +96,40 @@
   return result;
 }
 
-std::vector<router_address> gossip_peers(membership_table& table, instant now) {
-  std::vector<router_address> result = live_peers(table, now);
-  if (result.size() > full_gossip_peers) {
-    std::rotate(result.begin(),
-                result.begin() + static_cast<std::ptrdiff_t>(table.turn % result.size()),
-                result.end());
-    table.turn += full_gossip_peers;
-    result.resize(full_gossip_peers);
+gossip_round next_round(membership_table& table, instant now) {
+  gossip_round round;
+  if (table.waiting.empty()) {
+    round.begins_cycle = true;
+    begin_cycle(table, now);
+  }
+  while (!table.waiting.empty() && round.peers.size() < round_peers) {
+    round.peers.push_back(table.waiting.back());
+    table.waiting.pop_back();
   }
   std::size_t tried = 0;
   for (std::pair<const router_address, peer_row>& entry : table.peers) {
     if (!is_alive(entry.second, now) && now - entry.second.last_tried >= seed_retry &&
-        tried < full_gossip_peers) {
+        tried < round_peers) {
       entry.second.last_tried = now;
-      result.push_back(entry.first);
+      round.peers.push_back(entry.first);
       ++tried;
     }
   }
-  return result;
+  return round;
+}
+
+std::vector<router_address> peers_to_tell(membership_table& table, const router_address& peer,
+                                          std::minstd_rand& random, instant now) {
+  std::vector<router_address> alive = live_peers(table, now);
+  std::size_t most = introduced_peers;
+  auto found = table.peers.find(peer);
+  if (found != table.peers.end()) {
+    most = found->second.introduced ? reminded_peers : introduced_peers;
+    found->second.introduced = found->second.introduced || is_alive(found->second, now);
+  }
+  std::shuffle(alive.begin(), alive.end(), random);
+  alive.resize(std::min(alive.size(), most));
+  return alive;
 }
 
 void expire_peers(membership_table& table, instant now) {
--- a/core/routing/fair_share.cc
+++ b/core/routing/fair_share.cc
@@ -59,8 +59,8 @@
 }
 
 void set_peer_tokens(share_table& table, const router_address& peer,
-                     std::map<std::uint64_t, peer_tokens> tokens, instant now) {
-  table.peers[peer] = {now, std::move(tokens)};
+                     std::map<std::uint64_t, peer_tokens> tokens, instant valid_until) {
+  table.peers[peer] = {valid_until, std::move(tokens)};
 }
 
 void update_level(share_table& table, double capacity, instant now) {
@@ -68,8 +68,7 @@
   std::erase_if(table.own, [](const std::pair<const organisation_name, token_window>& entry) {
     return entry.second.asked_sum < 0.5 && entry.second.served_sum < 0.5;
   });
-  std::erase_if(table.peers,
-                [now](const auto& entry) { return now - entry.second.first > peer_news_life; });
+  std::erase_if(table.peers, [now](const auto& entry) { return now > entry.second.first; });
   table.totals.clear();
   for (const std::pair<const organisation_name, token_window>& entry : table.own) {
     peer_tokens& total = table.totals[stable_hash(entry.first.value)];
--- a/core/routing/fair_share.h
+++ b/core/routing/fair_share.h
@@ -10,7 +10,7 @@
 //
 // An organisation with a position of 1 or more has had its share; one below has not.
 // Without news from peers, the own counts are all there is.
-// Bound: counts older than the window are forgotten; a peer's after peer_news_life.
+// Bound: counts older than the window are forgotten; a peer's when they expire.
 // Thread safety: none; one loop.
 #pragma once
 
@@ -25,7 +25,6 @@
 
 inline constexpr std::size_t share_buckets = 8;
 inline constexpr milliseconds share_bucket{250};  // the window is 2 s: half the users' shortest
-inline constexpr milliseconds peer_news_life{1'000};
 
 struct token_window {
   std::array<double, share_buckets> asked{};
@@ -51,7 +50,7 @@
 void note_asked(share_table& table, const organisation_name& who, double tokens, instant now);
 void note_served(share_table& table, const organisation_name& who, double tokens, instant now);
 void set_peer_tokens(share_table& table, const router_address& peer,
-                     std::map<std::uint64_t, peer_tokens> tokens, instant now);
+                     std::map<std::uint64_t, peer_tokens> tokens, instant valid_until);
 
 // Recomputes totals and level. `capacity`: tokens a second of all engines; 0: unknown.
 void update_level(share_table& table, double capacity, instant now);
--- a/core/routing/placement.cc
+++ b/core/routing/placement.cc
@@ -1,6 +1,7 @@
 #include "core/routing/placement.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/base/check.h"
 #include "core/base/stable_hash.h"
@@ -32,7 +33,7 @@
 constexpr double service_memory = 0.1;
 constexpr double default_service_ms = 60;
 constexpr std::size_t max_prefixes = 20'000;  // remembered of one engine, about 0.6 MB
-constexpr std::size_t max_new_prefixes = 64;  // told in one gossip
+constexpr std::size_t max_new_prefixes = 64;  // told in one cycle of gossip
 
 std::uint32_t short_hash(const prompt_prefix& prefix) {
   return static_cast<std::uint32_t>(prefix.hash);
@@ -106,30 +107,30 @@
   return found == table.targets.end() ? empty : found->second;
 }
 
+struct engine_view {
+  const target_load* load = nullptr;
+  double kept = 0;
+  std::uint64_t home_score = 0;
+};
+
+void add(peer_load& sum, const peer_load& one, int sign) {
+  sum.running += sign * one.running;
+  sum.unread += sign * one.unread;
+  sum.memory += sign * one.memory;
+}
+
 }  // namespace
 
-int running_at(const target_load& load, instant now) {
-  int sum = load.running;
-  for (const std::pair<const router_address, peer_load>& peer : load.peers) {
-    sum += now - peer.second.told_at <= peer_load_life ? peer.second.running : 0;
-  }
-  return sum;
+int running_at(const target_load& load) {
+  return load.running + load.all_peers.running;
 }
 
-double unread_at(const target_load& load, instant now) {
-  double sum = load.unread;
-  for (const std::pair<const router_address, peer_load>& peer : load.peers) {
-    sum += now - peer.second.told_at <= peer_load_life ? peer.second.unread : 0;
-  }
-  return sum;
+double unread_at(const target_load& load) {
+  return load.unread + load.all_peers.unread;
 }
 
-double memory_at(const target_load& load, instant now) {
-  double sum = load.memory;
-  for (const std::pair<const router_address, peer_load>& peer : load.peers) {
-    sum += now - peer.second.told_at <= peer_load_life ? peer.second.memory : 0;
-  }
-  return sum;
+double memory_at(const target_load& load) {
+  return load.memory + load.all_peers.memory;
 }
 
 double read_rate_of(const load_table& table, const target_load& load) {
@@ -139,13 +140,13 @@
   return table.pool_read_rate > 0 ? table.pool_read_rate : assumed_read_rate;
 }
 
-double kept_window(const target_load& load, double memory_tokens, instant now) {
-  const double running = memory_at(load, now);
+double kept_window(const target_load& load, double memory_tokens) {
+  const double running = memory_at(load);
   return kept_safety * std::max(memory_tokens * least_kept_part, memory_tokens - running);
 }
 
-double kept_tokens(const target_load& load, const prompt& what, double memory_tokens, instant now) {
-  const double oldest = load.tokens_read - kept_window(load, memory_tokens, now);
+double kept_tokens(const target_load& load, const prompt& what, double memory_tokens) {
+  const double oldest = load.tokens_read - kept_window(load, memory_tokens);
   double kept = 0;
   for (const prompt_prefix& prefix : what.prefixes) {
     auto found = load.prefix_used_at.find(short_hash(prefix));
@@ -158,35 +159,36 @@
 }
 
 placement choose_engine(const load_table& table, const std::vector<candidate>& candidates,
-                        const engine_call& call, instant now) {
+                        const engine_call& call) {
   const prompt& what = *call.what;
-  const double memory_tokens = call.memory_tokens;
-  placement best;
-  double best_cost = 0;
   const std::uint64_t subject = subject_of(what);
   const double shared = shared_tokens(what);
   const double comfortable_ms = comfortable_part * to_ms(call.aim);
-  const candidate* home = nullptr;  // rendezvous: equal on all routers
-  std::uint64_t home_score = 0;
+  std::vector<engine_view> views;
+  views.reserve(candidates.size());
+  std::size_t home = 0;  // rendezvous: equal on all routers
   bool kept_somewhere = false;
   for (const candidate& where : candidates) {
-    const std::uint64_t score = stable_hash(where.name.value, subject);
-    if (home == nullptr || score > home_score) {
-      home = &where;
-      home_score = score;
+    const target_load& load = load_of(table, where.name);
+    views.push_back({&load, kept_tokens(load, what, call.memory_tokens),
+                     stable_hash(where.name.value, subject)});
+    kept_somewhere = kept_somewhere || views.back().kept >= shared;
+    if (views.back().home_score > views[home].home_score) {
+      home = views.size() - 1;
     }
-    kept_somewhere = kept_somewhere ||
-                     kept_tokens(load_of(table, where.name), what, memory_tokens, now) >= shared;
   }
-  for (const candidate& where : candidates) {
-    const target_load& load = load_of(table, where.name);
+  placement best;
+  double best_cost = 0;
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    const candidate& where = candidates[index];
+    const target_load& load = *views[index].load;
     const double rate = read_rate_of(table, load);
+    const double read_ms = std::max(0.0, what.tokens_in - views[index].kept) / rate;
     placement choice;
     choice.chosen = &where;
-    choice.kept_tokens = kept_tokens(load, what, memory_tokens, now);
-    choice.unread_ahead = unread_at(load, now);
-    choice.running = running_at(load, now);
-    const double read_ms = std::max(0.0, what.tokens_in - choice.kept_tokens) / rate;
+    choice.kept_tokens = views[index].kept;
+    choice.unread_ahead = unread_at(load);
+    choice.running = running_at(load);
     choice.queue_ms = base_of(load) - first_token_base_ms + choice.unread_ahead / rate;
     choice.first_token_ms = first_token_base_ms + choice.queue_ms + read_ms;
     double cost = engine_cost(where, {.read_ms = read_ms,
@@ -195,7 +197,7 @@
                                       .write_ms = what.expected_out * token_ms_of(table, load),
                                       .left_ms = to_ms(call.left),
                                       .running = choice.running});
-    if (&where == home) {
+    if (index == home) {
       cost -= (kept_somewhere ? home_pull : first_meeting) * shared / rate;
     }
     if (best.chosen == nullptr || cost < best_cost) {
@@ -207,14 +209,14 @@
 }
 
 placement choose_plain(const load_table& table, const std::vector<candidate>& candidates,
-                       std::uint64_t tie_breaker, instant now) {
+                       std::uint64_t tie_breaker) {
   placement best;
   double best_cost = 0;
   for (const candidate& where : candidates) {
     const target_load& load = load_of(table, where.name);
     placement choice;
     choice.chosen = &where;
-    choice.running = running_at(load, now);
+    choice.running = running_at(load);
     const double slots = std::max(1, where.slots);
     const double service = load.service_ms > 0 ? load.service_ms : default_service_ms;
     choice.first_token_ms =
@@ -240,18 +242,18 @@
   if (what == nullptr) {
     return cost;
   }
-  cost.unread = std::max(0.0, what->tokens_in - kept_tokens(load, *what, memory_tokens, now));
+  cost.unread = std::max(0.0, what->tokens_in - kept_tokens(load, *what, memory_tokens));
   cost.memory = cost.unread + what->expected_out;  // kept parts are shared
-  cost.ahead = unread_at(load, now) + cost.unread;
+  cost.ahead = unread_at(load) + cost.unread;
   cost.reading = true;
   load.unread += cost.unread;
   load.memory += cost.memory;
   load.tokens_read += cost.unread;
-  load.new_tokens_read += cost.unread;
+  load.collecting.tokens += cost.unread;
   for (const prompt_prefix& prefix : what->prefixes) {
     remember_prefix(load, short_hash(prefix));
-    if (&prefix != &what->prefixes.back() && load.new_prefixes.size() < max_new_prefixes) {
-      load.new_prefixes.push_back(short_hash(prefix));
+    if (&prefix != &what->prefixes.back() && load.collecting.prefixes.size() < max_new_prefixes) {
+      load.collecting.prefixes.push_back(short_hash(prefix));
     }
   }
   return cost;
@@ -330,17 +332,39 @@
   load.reported_at = now;
 }
 
+void begin_telling(load_table& table) {
+  for (std::pair<const target_name, target_load>& entry : table.targets) {
+    entry.second.telling = std::exchange(entry.second.collecting, {});
+  }
+}
+
 void note_peer_load(load_table& table, const router_address& peer, const target_name& target,
                     const peer_load& told, const std::vector<std::uint32_t>& prefixes,
                     double tokens_read) {
   target_load& load = table.targets[target];
-  load.peers[peer] = told;
+  peer_load& known = load.peers[peer];
+  add(load.all_peers, known, -1);
+  add(load.all_peers, told, 1);
+  known = told;
   load.tokens_read += tokens_read;
   for (std::uint32_t prefix : prefixes) {
     remember_prefix(load, prefix);
   }
 }
 
+void expire_peer_loads(load_table& table, instant now) {
+  for (std::pair<const target_name, target_load>& entry : table.targets) {
+    target_load& load = entry.second;
+    std::erase_if(load.peers, [&load, now](const std::pair<const router_address, peer_load>& peer) {
+      const bool expired = now > peer.second.valid_until;
+      if (expired) {
+        add(load.all_peers, peer.second, -1);
+      }
+      return expired;
+    });
+  }
+}
+
 void forget_load(load_table& table, const target_name& target) {
   table.targets.erase(target);
 }
--- a/core/routing/placement.h
+++ b/core/routing/placement.h
@@ -9,7 +9,8 @@
 //   call_cost cost = note_sent(table, target, prompt, now);
 //   note_first_token(table, target, cost, now);   // the prompt has been read
 //   note_ended(table, target, cost);
-//   placement choice = choose_engine(table, candidates, prompt, capacity);
+//   placement choice = choose_engine(table, candidates, call);
+//   expire_peer_loads(table, now);                // each tick
 //
 // Waiting for a while costs little as long as the first token is on time, while
 // reading a shared part again takes the engine from everybody: up to a comfortable
@@ -24,7 +25,9 @@
 // one hot subject (spills to others once the wait exceeds reading it again), many
 // routers on one stale report (own sends count at once).
 //
-// Invariants: running >= 0, unread >= 0. Thread safety: none; one loop.
+// Invariants: running >= 0, unread >= 0; `all_peers` is the sum of `peers`. Cost of a
+// choice: two lookups and a few steps for each candidate, whatever the number of routers.
+// Thread safety: none; one loop.
 #pragma once
 
 #include <cstdint>
@@ -37,12 +40,11 @@
 
 namespace peridot {
 
-inline constexpr milliseconds peer_load_life{1'000};  // ten rounds of gossip
-inline constexpr double first_token_base_ms = 25;     // one step and the way there and back
-inline constexpr double comfortable_part = 0.9;  // of the shortest aim: a wait that costs little
-inline constexpr double assumed_read_rate = 30;  // tokens a ms before any was measured
-inline constexpr double least_kept_part = 0.25;  // of an engine's memory that holds prefixes
-inline constexpr double kept_safety = 0.85;      // evicted sooner than the model says
+inline constexpr double first_token_base_ms = 25;  // one step and the way there and back
+inline constexpr double comfortable_part = 0.9;    // of the shortest aim: a wait that costs little
+inline constexpr double assumed_read_rate = 30;    // tokens a ms before any was measured
+inline constexpr double least_kept_part = 0.25;    // of an engine's memory that holds prefixes
+inline constexpr double kept_safety = 0.85;        // evicted sooner than the model says
 
 // What one call adds to its target's load.
 struct call_cost {
@@ -57,7 +59,13 @@
   int running = 0;
   double unread = 0;
   double memory = 0;
-  instant told_at{};
+  instant valid_until{};
+};
+
+// What own calls read at an engine.
+struct read_news {
+  std::vector<std::uint32_t> prefixes;
+  double tokens = 0;
 };
 
 struct target_load {
@@ -65,10 +73,11 @@
   double unread = 0;  // own calls' prompt tokens not read yet
   double memory = 0;  // own calls' tokens
   std::map<router_address, peer_load> peers;
+  peer_load all_peers;     // the sum of `peers`, so that a choice need not visit them
   double tokens_read = 0;  // clock of the engine's memory, all routers
   std::unordered_map<std::uint32_t, double> prefix_used_at;  // low half of the hash -> clock
-  std::vector<std::uint32_t> new_prefixes;                   // read since the last gossip
-  double new_tokens_read = 0;                                // likewise
+  read_news collecting;                                      // of this cycle of gossip
+  read_news telling;                                         // of the cycle before
   double read_rate = 0;                                      // tokens a ms; 0: none measured
   double base_ms = 0;         // mean time to the first token of short waits; 0: none measured
   double token_ms = 0;        // mean time between two tokens of a stream; 0: none measured
@@ -99,16 +108,17 @@
   int running = 0;                    // of all routers
 };
 
-int running_at(const target_load& load, instant now);
-double unread_at(const target_load& load, instant now);
-double memory_at(const target_load& load, instant now);
+// Of all routers.
+int running_at(const target_load& load);
+double unread_at(const target_load& load);
+double memory_at(const target_load& load);
 double read_rate_of(const load_table& table, const target_load& load);
 
 // Tokens that were read since the oldest prefix still in memory, by the model.
-double kept_window(const target_load& load, double memory_tokens, instant now);
+double kept_window(const target_load& load, double memory_tokens);
 
 // Tokens of the prompt that the target is expected to have in memory.
-double kept_tokens(const target_load& load, const prompt& what, double memory_tokens, instant now);
+double kept_tokens(const target_load& load, const prompt& what, double memory_tokens);
 
 // A call to an engine, as far as the choice depends on it.
 struct engine_call {
@@ -119,12 +129,12 @@
 };
 
 placement choose_engine(const load_table& table, const std::vector<candidate>& candidates,
-                        const engine_call& call, instant now);
+                        const engine_call& call);
 
 // For targets that read no prompts: least busy by slots, then the own failure domain.
 // `first_token_ms` is the predicted wait for a slot.
 placement choose_plain(const load_table& table, const std::vector<candidate>& candidates,
-                       std::uint64_t tie_breaker, instant now);
+                       std::uint64_t tie_breaker);
 
 call_cost note_sent(load_table& table, const target_name& target, const prompt* what,
                     double memory_tokens, instant now);
@@ -140,11 +150,17 @@
 void note_report(load_table& table, const target_name& target, int running, int waiting,
                  instant now);
 
-// A peer's calls at the target; `prefixes` and `tokens_read` since its last message.
+// A cycle of gossip begins: what was collected is told to each peer once.
+void begin_telling(load_table& table);
+
+// A peer's calls at the target; `prefixes` and `tokens_read` of its last cycle.
 void note_peer_load(load_table& table, const router_address& peer, const target_name& target,
                     const peer_load& told, const std::vector<std::uint32_t>& prefixes,
                     double tokens_read);
 
+// Drops what peers told too long ago.
+void expire_peer_loads(load_table& table, instant now);
+
 // The target restarted or is gone: nothing is known of it.
 void forget_load(load_table& table, const target_name& target);
 
--- a/core/routing/routing.h
+++ b/core/routing/routing.h
@@ -3,6 +3,7 @@
 // In the order in which a call meets them:
 //
 //   fair_share.h     has its organisation had its share of the engines' tokens?
+//   overload.h       is this instance itself behind?
 //   cold_gate.h      which cold targets may this router send to now?
 //   target_health.h  which targets are avoided, and which is due for a trial?
 //   placement.h      the target with the lowest expected cost, and the wait there
@@ -21,6 +22,7 @@
 #include "core/routing/admission.h"
 #include "core/routing/cold_gate.h"
 #include "core/routing/fair_share.h"
+#include "core/routing/overload.h"
 #include "core/routing/placement.h"
 #include "core/routing/retry_budget.h"
 #include "core/routing/suspects.h"
--- /dev/null
+++ b/core/testing/overload_test.cc
@@ -0,0 +1,59 @@
+#include "core/routing/overload.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+
+using namespace peridot;
+
+namespace {
+
+const instant start = instant{} + std::chrono::hours{1};
+
+}  // namespace
+
+TEST_CASE("load pattern: one busy caller fills one instance while the others idle") {
+  overload_state state;
+  instant now = start;
+  const std::function<void(int, milliseconds)> turns = [&](int count, milliseconds turn) {
+    for (int measured = 0; measured < count; ++measured) {
+      now += milliseconds{100};
+      note_turn(state, turn, now);
+    }
+  };
+  const duration aim = milliseconds{600};
+  turns(20, milliseconds{3});
+  CHECK_FALSE(refuses_new(state, aim, true));
+  SUBCASE("long turns: new calls are refused, so that they go to another instance") {
+    turns(4, milliseconds{110});
+    CHECK(refuses_new(state, aim, true));
+    CHECK_FALSE(state.shedding);
+    SUBCASE("the last instance alive goes on serving") {
+      CHECK_FALSE(refuses_new(state, aim, false));
+    }
+    SUBCASE("if it lasts, no new connections are wanted until it has been calm") {
+      turns(6, milliseconds{110});
+      CHECK(state.shedding);
+      turns(15, milliseconds{3});
+      CHECK(state.shedding);
+      turns(15, milliseconds{3});
+      CHECK_FALSE(state.shedding);
+    }
+  }
+  SUBCASE("one long turn is not overload") {
+    turns(1, milliseconds{120});
+    CHECK_FALSE(refuses_new(state, aim, true));
+    turns(10, milliseconds{3});
+    CHECK_FALSE(state.shedding);
+  }
+  SUBCASE("a process that slept for long takes calls again within a second") {
+    turns(1, milliseconds{60'000});
+    turns(9, milliseconds{3});
+    CHECK_FALSE(refuses_new(state, aim, true));
+    CHECK_FALSE(state.shedding);
+  }
+  SUBCASE("calls with a short aim are not refused for the pauses of a shared processor") {
+    turns(10, milliseconds{20});
+    CHECK_FALSE(refuses_new(state, milliseconds{100}, true));
+  }
+}
--- a/core/testing/placement_test.cc
+++ b/core/testing/placement_test.cc
@@ -40,7 +40,7 @@
 
 placement send(load_table& table, const std::vector<candidate>& all, const prompt& what,
                instant now, call_cost& cost) {
-  const placement where = choose_engine(table, all, call_of(what), now);
+  const placement where = choose_engine(table, all, call_of(what));
   cost = note_sent(table, where.chosen->name, &what, memory, now);
   return where;
 }
@@ -81,8 +81,8 @@
     const load_table second;
     const prompt one = make_prompt(subject);
     const prompt other = make_prompt(subject);
-    CHECK(choose_engine(first, all, call_of(one), start).chosen->name ==
-          choose_engine(second, all, call_of(other), start).chosen->name);
+    CHECK(choose_engine(first, all, call_of(one)).chosen->name ==
+          choose_engine(second, all, call_of(other)).chosen->name);
   }
 }
 
@@ -133,7 +133,7 @@
     prompt writer = make_prompt(subject, 170, 500);
     writer.expected_out = 700;
     writer.tokens_out = 900;
-    CHECK(choose_engine(table, all, call_of(writer), start).chosen->name == all[1].name);
+    CHECK(choose_engine(table, all, call_of(writer)).chosen->name == all[1].name);
   }
 }
 
@@ -144,17 +144,41 @@
   call_cost cost = note_sent(table, target, &kept, memory, start);
   note_ended(table, target, cost);
   const target_load& load = table.targets.at(target);
-  CHECK(kept_tokens(load, make_prompt(1), memory, start) == 6'000);
-  CHECK(kept_tokens(load, make_prompt(2), memory, start) == 2'000);
+  CHECK(kept_tokens(load, make_prompt(1), memory) == 6'000);
+  CHECK(kept_tokens(load, make_prompt(2), memory) == 2'000);
   note_peer_load(table, router_address{"p"}, target, {0, 0, 0, start}, {}, memory);
-  CHECK(kept_tokens(load, make_prompt(1), memory, start) == 0);
+  CHECK(kept_tokens(load, make_prompt(1), memory) == 0);
   SUBCASE("what a peer read there counts") {
     const prompt told = make_prompt(3);
     note_peer_load(table, router_address{"p"}, target, {0, 0, 0, start},
                    {static_cast<std::uint32_t>(told.prefixes[0].hash),
                     static_cast<std::uint32_t>(told.prefixes[1].hash)},
                    0);
-    CHECK(kept_tokens(load, make_prompt(3), memory, start) == 6'000);
+    CHECK(kept_tokens(load, make_prompt(3), memory) == 6'000);
+  }
+}
+
+TEST_CASE("load pattern: a fleet so large that a cycle of gossip takes many rounds") {
+  load_table table;
+  const target_name target{"engine-0"};
+  const prompt what = make_prompt(1);
+  note_sent(table, target, &what, memory, start);
+  begin_telling(table);
+  const target_load& load = table.targets.at(target);
+  const std::size_t told = load.telling.prefixes.size();
+  CHECK(told == 2);  // all but the prompt's own part
+  CHECK(load.telling.tokens == 8'000);
+  SUBCASE("every peer of the cycle is told the same, whatever is read meanwhile") {
+    const prompt later = make_prompt(2);
+    note_sent(table, target, &later, memory, start);
+    CHECK(load.telling.prefixes.size() == told);
+    begin_telling(table);
+    CHECK(load.telling.tokens == 6'000);  // the head was kept
+  }
+  SUBCASE("nothing is told twice") {
+    begin_telling(table);
+    CHECK(load.telling.prefixes.empty());
+    CHECK(load.telling.tokens == 0);
   }
 }
 
@@ -193,16 +217,48 @@
   load_table table;
   const std::vector<candidate> all = {{target_name{"near"}, 6, true},
                                       {target_name{"far"}, 6, false}};
-  CHECK(choose_plain(table, all, 1, start).chosen->name.value == "near");
+  CHECK(choose_plain(table, all, 1).chosen->name.value == "near");
   for (int call = 0; call < 3; ++call) {
     note_sent(table, target_name{"near"}, nullptr, 0, start);
   }
-  CHECK(choose_plain(table, all, 1, start).chosen->name.value == "far");
+  CHECK(choose_plain(table, all, 1).chosen->name.value == "far");
   SUBCASE("peers' calls count while their news is fresh") {
-    note_peer_load(table, router_address{"p"}, target_name{"far"}, {6, 0, 0, start}, {}, 0);
-    CHECK(choose_plain(table, all, 1, start).chosen->name.value == "near");
-    CHECK(
-        choose_plain(table, all, 1, start + peer_load_life + milliseconds{1}).chosen->name.value ==
-        "far");
+    note_peer_load(table, router_address{"p"}, target_name{"far"},
+                   {6, 0, 0, start + milliseconds{1'500}}, {}, 0);
+    CHECK(choose_plain(table, all, 1).chosen->name.value == "near");
+    expire_peer_loads(table, start + milliseconds{1'500});
+    CHECK(choose_plain(table, all, 1).chosen->name.value == "near");
+    expire_peer_loads(table, start + milliseconds{1'501});
+    CHECK(choose_plain(table, all, 1).chosen->name.value == "far");
+  }
+}
+
+TEST_CASE("the sum over peers agrees with adding them up") {
+  std::mt19937 random(7);
+  load_table table;
+  const target_name target{"engine-0"};
+  for (int step = 0; step < 3'000; ++step) {
+    const instant now = start + milliseconds{10 * step};
+    const router_address peer{"peer-" + std::to_string(random() % 80)};
+    const double tokens = static_cast<double>(random() % 9'000);
+    note_peer_load(table, peer, target,
+                   {static_cast<int>(random() % 9), tokens, 2 * tokens, now + milliseconds{1'500}},
+                   {}, 0);
+    if (step % 7 == 0) {
+      expire_peer_loads(table, now);
+    }
+    const target_load& load = table.targets.at(target);
+    int running = 0;
+    double unread = 0;
+    double used = 0;
+    for (const std::pair<const router_address, peer_load>& one : load.peers) {
+      running += one.second.running;
+      unread += one.second.unread;
+      used += one.second.memory;
+      CHECK((step % 7 != 0 || one.second.valid_until >= now));
+    }
+    CHECK(running_at(load) == running);
+    CHECK(unread_at(load) == doctest::Approx(unread));
+    CHECK(memory_at(load) == doctest::Approx(used));
   }
 }
--- a/core/testing/shares_and_members_test.cc
+++ b/core/testing/shares_and_members_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <numeric>
 #include <random>
 #include <set>
@@ -17,6 +18,7 @@
 namespace {
 
 const instant start = instant{} + std::chrono::hours{1};
+const duration interval = milliseconds{200};
 
 router_identity router(int number, std::uint64_t incarnation = 1) {
   return {router_address{"10.0.0." + std::to_string(number) + ":7400"}, incarnation};
@@ -71,14 +73,14 @@
   std::map<std::uint64_t, peer_tokens> told;
   told[stable_hash(large.value)] = {50'000, 17'000};
   told[stable_hash(small.value)] = {1'000, 1'000};
-  set_peer_tokens(table, router(2).address, told, start);
+  set_peer_tokens(table, router(2).address, told, start + milliseconds{1'500});
   update_level(table, 10'000, start + milliseconds{1});  // 20,000 tokens in the window of 2 s
   SUBCASE("the sum over routers decides") {
     CHECK(share_position(table, large) > 1.0);
     CHECK(share_position(table, small) == doctest::Approx(0.5));
   }
   SUBCASE("without news from peers the own view is all there is") {
-    update_level(table, 10'000, start + peer_news_life + milliseconds{2});
+    update_level(table, 10'000, start + milliseconds{1'502});
     CHECK(share_position(table, large) == 0);  // all that is known fits
   }
   SUBCASE("while the engines suffice, nobody is above its share") {
@@ -173,19 +175,19 @@
 }
 
 TEST_CASE("routers find each other from one seed") {
-  membership_table table = make_membership(router(1), {router(2).address}, start);
+  membership_table table = make_membership(router(1), {router(2).address}, interval, start);
   CHECK(live_peers(table, start).empty());
-  CHECK(gossip_peers(table, start) == std::vector<router_address>{router(2).address});
+  CHECK(next_round(table, start).peers == std::vector<router_address>{router(2).address});
   CHECK(on_peer(table, router(2), {router(3).address, router(1).address}, false, domain_name{"a"},
                 start));
   CHECK(live_peers(table, start) == std::vector<router_address>{router(2).address});
   SUBCASE("a peer that was told of is tried, and alive once it is heard") {
-    CHECK(gossip_peers(table, start + seed_retry).size() == 2);
+    CHECK(next_round(table, start + seed_retry).peers.size() == 2);
     on_peer(table, router(3), {}, false, domain_name{"b"}, start);
     CHECK(live_peers(table, start).size() == 2);
   }
   SUBCASE("a silent peer is no longer alive, and may still be sending") {
-    const instant later = start + alive_for + milliseconds{1};
+    const instant later = start + least_news_life + milliseconds{1};
     CHECK(live_peers(table, later).empty());
     CHECK(possible_peers(table, later).size() == 1);
   }
@@ -198,16 +200,41 @@
     CHECK(table.peers.size() == 1);
     CHECK(table.peers.contains(router(2).address));
   }
-  SUBCASE("a large fleet gets bounded rounds that reach everybody in turn") {
-    for (int number = 4; number < 104; ++number) {
+  SUBCASE("a large fleet: bounded rounds, and each cycle reaches everybody once") {
+    constexpr int fleet = 102;
+    for (int number = 2; number < 2 + fleet; ++number) {
       on_peer(table, router(number), {}, false, domain_name{"a"}, start);
     }
-    std::set<router_address> reached;
-    for (int round = 0; round < 8; ++round) {
-      const std::vector<router_address> peers = gossip_peers(table, start);
-      CHECK(peers.size() <= 2 * full_gossip_peers);
-      reached.insert(peers.begin(), peers.end());
+    table.waiting.clear();
+    std::map<router_address, int> reached;
+    std::size_t begun = 0;
+    const std::size_t rounds = (fleet + round_peers - 1) / round_peers;
+    for (std::size_t round = 0; round < rounds; ++round) {
+      const gossip_round next = next_round(table, start);
+      CHECK(next.peers.size() <= round_peers);
+      begun += next.begins_cycle ? 1 : 0;
+      for (const router_address& peer : next.peers) {
+        ++reached[peer];
+      }
+    }
+    CHECK(begun == 1);
+    CHECK(reached.size() == fleet);
+    CHECK(std::all_of(reached.begin(), reached.end(),
+                      [](const auto& peer) { return peer.second == 1; }));
+    // Heard once a cycle, nobody is taken for dead between two messages, nor if one is lost.
+    on_peer(table, router(3), {}, false, domain_name{"a"}, start);
+    const duration cycle = interval * rounds;
+    CHECK(is_alive(table.peers.at(router(3).address), start + 2 * cycle));
+    CHECK_FALSE(is_alive(table.peers.at(router(3).address), start + 3 * cycle));
+  }
+  SUBCASE("a peer that is new is told of everybody, others of a few") {
+    for (int number = 2; number < 90; ++number) {
+      on_peer(table, router(number), {}, false, domain_name{"a"}, start);
     }
-    CHECK(reached.size() >= 100);
+    std::minstd_rand random(1);
+    CHECK(peers_to_tell(table, router(5).address, random, start).size() == 88);
+    CHECK(peers_to_tell(table, router(5).address, random, start).size() == reminded_peers);
+    on_peer(table, router(5, 77), {}, false, domain_name{"a"}, start);
+    CHECK(peers_to_tell(table, router(5).address, random, start).size() == 88);
   }
 }
--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -3,7 +3,10 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <cstdio>
 #include <cstring>
 #include <utility>
 
@@ -274,6 +277,20 @@
                       BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
+// Writes to the socket at once if nothing waits before; what does not fit is buffered.
+// An event of a stream then costs one system call in place of four: through the buffer
+// alone, the loop would watch the socket for writing, wait, write, and stop watching.
+void write_now(http_connection& connection, std::string_view data) {
+  if (evbuffer_get_length(bufferevent_get_output(connection.stream)) == 0) {
+    // An error is left to the buffered write, which reports it.
+    const ssize_t sent = ::write(bufferevent_getfd(connection.stream), data.data(), data.size());
+    data.remove_prefix(static_cast<std::size_t>(std::max<ssize_t>(0, sent)));
+  }
+  if (!data.empty()) {
+    bufferevent_write(connection.stream, data.data(), data.size());
+  }
+}
+
 bool is_head_request(const http_exchange& exchange) {
   return exchange.head.method == "HEAD";
 }
@@ -323,8 +340,8 @@
   }
 }
 
-void announce_close(http_listener& listener) {
-  listener.closing_connections = true;
+void announce_close(http_listener& listener, bool closing) {
+  listener.closing_connections = closing;
 }
 
 void close_idle(http_listener& listener, milliseconds least_idle) {
@@ -374,14 +391,16 @@
   if (exchange.connection == nullptr || data.empty() || is_head_request(exchange)) {
     return;
   }
-  evbuffer* output = bufferevent_get_output(exchange.connection->stream);
-  if (exchange.chunked) {
-    evbuffer_add_printf(output, "%zx\r\n", data.size());
-  }
-  evbuffer_add(output, data.data(), data.size());
-  if (exchange.chunked) {
-    evbuffer_add(output, "\r\n", 2);
+  if (!exchange.chunked) {
+    write_now(*exchange.connection, data);
+    return;
   }
+  char size[sizeof(std::size_t) * 2 + 3];  // in hexadecimal, a line break, the final zero
+  std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+  std::string chunk;
+  chunk.reserve(sizeof(size) + data.size() + 2);
+  chunk.append(size).append(data).append("\r\n");
+  write_now(*exchange.connection, chunk);
 }
 
 void reply_end(http_exchange& exchange) {
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -113,8 +113,8 @@
 // No further connection is accepted.
 void stop_accepting(http_listener& listener);
 
-// From now on each answer ends its connection.
-void announce_close(http_listener& listener);
+// While set, each answer ends its connection.
+void announce_close(http_listener& listener, bool closing);
 
 // Closes the connections on which no request has begun to arrive for `least_idle`: on a
 // younger one a request may be on its way.
--- a/net/loop.cc
+++ b/net/loop.cc
@@ -27,8 +27,13 @@
 }
 
 void run_later(event_base* base, std::function<void()> work) {
-  const timeval now{0, 0};
-  event_base_once(base, -1, EV_TIMEOUT, run_once, new std::function<void()>(std::move(work)), &now);
+  run_after(base, std::chrono::milliseconds{0}, std::move(work));
+}
+
+void run_after(event_base* base, std::chrono::milliseconds delay, std::function<void()> work) {
+  const timeval time = to_timeval(delay);
+  event_base_once(base, -1, EV_TIMEOUT, run_once, new std::function<void()>(std::move(work)),
+                  &time);
 }
 
 event_ptr run_periodically(event_base* base, std::chrono::milliseconds period,
--- a/net/loop.h
+++ b/net/loop.h
@@ -44,6 +44,9 @@
 // Runs `work` once from the loop, after the current callback has returned.
 void run_later(event_base* base, std::function<void()> work);
 
+// Runs `work` once after `delay`, which is longer than zero: in a later turn of the loop.
+void run_after(event_base* base, std::chrono::milliseconds delay, std::function<void()> work);
+
 // Calls `work` each `period` until the returned handle is destroyed. The
 // function object must outlive the handle.
 event_ptr run_periodically(event_base* base, std::chrono::milliseconds period,
--- a/net/testing/http_edges_test.cc
+++ b/net/testing/http_edges_test.cc
@@ -142,7 +142,7 @@
     CHECK(testing::run_until(bench.base.get(), [&caller]() { return caller.closed; }));
   }
   SUBCASE("the end of the connection is announced, and then kept") {
-    announce_close(*bench.listener);
+    announce_close(*bench.listener, true);
     testing::say(caller, get_a);
     REQUIRE(wait_for_exchanges(bench, 1));
     reply(*bench.exchanges[0], 200, {}, "last");
--- a/router/call_answer.cc
+++ b/router/call_answer.cc
@@ -317,7 +317,7 @@
   if (call.sends > 0) {
     return;
   }
-  const int routers = static_cast<int>(live_peers(router.members, now).size()) + 1;
+  const int routers = static_cast<int>(live_count(router.members, now)) + 1;
   earn(pool_of(router, home.name).budget,
        limits_of(router.settings.retry_ratio, router.settings.retry_slack, routers));
   observe(router.counts.queue_wait, now - call.arrived);
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -24,21 +24,20 @@
 
 // Connections to one target that this router plans for.
 int connection_share(const router_state& router, const pool& home) {
-  const std::size_t routers = live_peers(router.members, current_time()).size() + 1;
+  const std::size_t routers = live_count(router.members, current_time()) + 1;
   return std::max(
       2, static_cast<int>(connections_part * home.max_connections / static_cast<double>(routers)));
 }
 
 // The share of each router is a guide: where the others use little, one may use more.
-bool has_room(const router_state& router, const target_state& target, const pool& home, int share,
-              instant now) {
+bool has_room(const router_state& router, const target_state& target, const pool& home, int share) {
   auto open = router.targets.open_by_address.find(target.entry.address);
   if (open == router.targets.open_by_address.end() || open->second < share ||
       router.targets.idle.contains(target.entry.address)) {
     return true;
   }
   auto load = router.loads.targets.find(target.entry.name);
-  const int running = load == router.loads.targets.end() ? 0 : running_at(load->second, now);
+  const int running = load == router.loads.targets.end() ? 0 : running_at(load->second);
   return std::max(running, open->second) < most_connections_part * home.max_connections;
 }
 
@@ -53,22 +52,28 @@
                        possible_peers(router.members, now), now);
 }
 
-std::vector<candidate> collect(live_call& call, const pool& home, bool avoided) {
-  router_state& router = *call.router;
+struct candidates {
+  std::vector<candidate> healthy;
+  std::vector<candidate> avoided;
+};
+
+candidates collect(const live_call& call, const pool& home) {
+  const router_state& router = *call.router;
   const instant now = current_time();
   const int share = connection_share(router, home);
-  std::vector<candidate> result;
+  candidates result;
   for (const std::pair<const target_name, target_state>& entry : router.store.targets.targets) {
     const target_state& target = entry.second;
     const bool tried =
         std::find(call.tried.begin(), call.tried.end(), entry.first) != call.tried.end();
     if (target.entry.pool != home.name || tried || !is_usable(router.store.targets, target) ||
-        is_avoided(router.health, entry.first, now) != avoided ||
-        !may_bear(router, target, home, now) || !has_room(router, target, home, share, now)) {
+        !may_bear(router, target, home, now) || !has_room(router, target, home, share)) {
       continue;
     }
-    result.push_back(
-        {entry.first, target.entry.slots, target.entry.domain == router.settings.domain});
+    const bool avoided = is_avoided(router.health, entry.first, now);
+    (avoided ? result.avoided : result.healthy)
+        .push_back(
+            {entry.first, target.entry.slots, target.entry.domain == router.settings.domain});
   }
   return result;
 }
@@ -97,53 +102,57 @@
                          {.what = &*call.request.what_to_read,
                           .memory_tokens = home.memory_tokens,
                           .aim = home.shortest_aim,
-                          .left = call.give_up_at - now},
-                         now);
+                          .left = call.give_up_at - now});
   }
-  return choose_plain(loads, candidates, stable_hash(call.request.id), now);
+  return choose_plain(loads, candidates, stable_hash(call.request.id));
 }
 
 // Candidates in order of preference: healthy ones; one that is due for a trial; any.
 std::vector<candidate> candidates_for(live_call& call, const pool& home) {
   router_state& router = *call.router;
-  std::vector<candidate> healthy = collect(call, home, false);
-  const std::vector<candidate> avoided = collect(call, home, true);
+  const candidates all = collect(call, home);
   if (may_repeat(*call.way)) {
-    for (const candidate& trial : avoided) {
+    for (const candidate& trial : all.avoided) {
       if (take_trial(router.health, trial.name, current_time())) {
         return {trial};
       }
     }
   }
-  return healthy.empty() ? avoided : healthy;
+  return all.healthy.empty() ? all.avoided : all.healthy;
 }
 
 // Refuses a call that cannot be begun in time. True if it was refused.
 bool refuse_if_late(live_call& call, const pool& home, const placement& where) {
+  router_state& router = *call.router;
   const instant now = current_time();
   const double predicted = where.first_token_ms;
   call.predicted_ms = predicted;
   if (call.sends > 0) {
     return false;  // what was begun is brought to its end
   }
+  const bool peers_alive = live_count(router.members, now) > 0;
+  if (refuses_new(router.overload, call.way->target_latency, peers_alive)) {
+    end_with_refusal(call, refusal::instance_busy,
+                     retry_after(least_retry_after, call.give_up_at - now, random_part(router)));
+    return true;
+  }
   if (!home.engine) {
     const double places = plain_queue_part * where.chosen->slots;
     if (where.running < places) {
       return false;
     }
-    end_with_refusal(
-        call, refusal::overloaded,
-        retry_after(from_ms(predicted), call.give_up_at - now, random_part(*call.router)));
+    end_with_refusal(call, refusal::overloaded,
+                     retry_after(from_ms(predicted), call.give_up_at - now, random_part(router)));
     return true;
   }
-  call.position = share_position(call.router->shares, call.caller);
+  call.position = share_position(router.shares, call.caller);
   const admission verdict = admit({.queued = from_ms(where.queue_ms),
                                    .own = from_ms(predicted - where.queue_ms),
                                    .waited = now - call.arrived,
                                    .aim = call.way->target_latency,
                                    .left = call.give_up_at - now,
                                    .share_position = call.position,
-                                   .jitter = random_part(*call.router)});
+                                   .jitter = random_part(router)});
   if (verdict.admitted) {
     return false;
   }
@@ -236,7 +245,7 @@
     return false;
   }
   const pool* home = choose_pool(call);
-  if (home == nullptr || (collect(call, *home, false).empty())) {
+  if (home == nullptr || collect(call, *home).healthy.empty()) {
     return false;
   }
   if (!try_spend(pool_of(router, home->name).budget)) {
--- a/router/pages.cc
+++ b/router/pages.cc
@@ -35,8 +35,9 @@
        as_number(router.targets.answers_skipped), true},
       {"peridot_requests_rejected_total", "Requests that could not be read.",
        as_number(router.callers->rejected), true},
+      {"peridot_loop_turn_ms", "Mean time of a turn of the loop.", to_ms(router.overload.turn)},
       {"peridot_live_peers", "Routers heard from lately.",
-       as_number(live_peers(router.members, now).size())},
+       as_number(live_count(router.members, now))},
       {"peridot_targets", "Targets in the table.", as_number(router.store.targets.targets.size())},
       {"peridot_store_calls_total", "Calls to the store.", as_number(router.store_reader.calls),
        true},
@@ -69,8 +70,8 @@
          " cold_ms=" + std::to_string(static_cast<std::int64_t>(cold_ms)) +
          " avoided=" + (is_avoided(router.health, target.entry.name, now) ? "1" : "0") +
          " failure_mean=" + std::to_string(failure_mean(router.health, target.entry.name)) +
-         " running=" + std::to_string(known ? running_at(load->second, now) : 0) + " unread=" +
-         std::to_string(known ? static_cast<std::int64_t>(unread_at(load->second, now)) : 0) +
+         " running=" + std::to_string(known ? running_at(load->second) : 0) + " unread=" +
+         std::to_string(known ? static_cast<std::int64_t>(unread_at(load->second)) : 0) +
          " read_rate=" + std::to_string(known ? read_rate_of(router.loads, load->second) : 0) +
          " revision=" + std::to_string(target.entry.revision) + "\n";
 }
@@ -81,6 +82,7 @@
       "router=" + router.settings.name + " domain=" + router.settings.domain.value +
       " incarnation=" + std::to_string(router.self.incarnation) +
       " ready=" + (router.ready ? "1" : "0") + " stopping=" + (router.stopping ? "1" : "0") +
+      " overloaded=" + (router.overload.shedding ? "1" : "0") +
       " calls=" + std::to_string(router.calls.size()) +
       " store_disturbed=" + (router.store.disturbed ? "1" : "0") + " config=" +
       std::to_string(router.store.config == nullptr ? 0 : router.store.config->version) + "\n";
@@ -112,9 +114,12 @@
     reply(*exchange, 404, plain_text, "no such page\n");
     return;
   }
-  const bool ready = router.ready && !router.stopping;
-  reply(*exchange, ready ? 200 : 503, plain_text,
-        ready ? "ready\n" : (router.stopping ? "leaving\n" : "not ready\n"));
+  const bool ready = router.ready && !router.stopping && !router.overload.shedding;
+  const char* text = ready             ? "ready\n"
+                     : router.stopping ? "leaving\n"
+                     : router.ready    ? "overloaded\n"
+                                       : "not ready\n";
+  reply(*exchange, ready ? 200 : 503, plain_text, text);
 }
 
 void handle_page(router_state& router, const std::shared_ptr<http_exchange>& exchange) {
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -13,8 +13,6 @@
 // A peer's store must be ahead for this long before its items are asked for: the
 // own watch usually brings them sooner. A quarter of the platform's bound.
 constexpr milliseconds ahead_before_asking{500};
-constexpr std::size_t max_peers_told = 64;
-constexpr std::uint64_t rounds_per_introduction = 5;  // peers' addresses are half of a message
 constexpr std::size_t max_crashes_told = 64;
 constexpr std::size_t max_organisations_told = 256;
 
@@ -33,14 +31,6 @@
   }
 }
 
-void add_peers(const router_state& router, wire::gossip& gossip, instant now) {
-  for (const router_address& peer : live_peers(router.members, now)) {
-    if (gossip.peers_size() < static_cast<int>(max_peers_told)) {
-      gossip.add_peers(peer.value);
-    }
-  }
-}
-
 std::set<router_address> known_peers(const membership_table& members) {
   std::set<router_address> result;
   for (const std::pair<const router_address, peer_row>& peer : members.peers) {
@@ -49,10 +39,10 @@
   return result;
 }
 
-void add_loads(router_state& router, wire::gossip& gossip) {
-  for (std::pair<const target_name, target_load>& entry : router.loads.targets) {
-    target_load& load = entry.second;
-    if (load.running == 0 && load.new_tokens_read < 1) {
+void add_loads(const router_state& router, wire::gossip& gossip) {
+  for (const std::pair<const target_name, target_load>& entry : router.loads.targets) {
+    const target_load& load = entry.second;
+    if (load.running == 0 && load.telling.tokens < 1 && load.telling.prefixes.empty()) {
       continue;
     }
     wire::target_use& use = *gossip.add_targets();
@@ -60,12 +50,10 @@
     use.set_running(static_cast<std::uint32_t>(load.running));
     use.set_unread_tokens(static_cast<std::uint32_t>(load.unread));
     use.set_memory_tokens(static_cast<std::uint32_t>(load.memory));
-    use.set_tokens_read(static_cast<std::uint32_t>(load.new_tokens_read));
-    for (std::uint32_t prefix : load.new_prefixes) {
+    use.set_tokens_read(static_cast<std::uint32_t>(load.telling.tokens));
+    for (std::uint32_t prefix : load.telling.prefixes) {
       use.add_read_prefixes(prefix);
     }
-    load.new_prefixes.clear();
-    load.new_tokens_read = 0;
   }
 }
 
@@ -103,7 +91,7 @@
     const std::vector<std::uint32_t> prefixes(use.read_prefixes().begin(),
                                               use.read_prefixes().end());
     const peer_load told{static_cast<int>(use.running()), static_cast<double>(use.unread_tokens()),
-                         static_cast<double>(use.memory_tokens()), now};
+                         static_cast<double>(use.memory_tokens()), now + router.members.news_life};
     note_peer_load(router.loads, from, found->second, told, prefixes, use.tokens_read());
   }
 }
@@ -121,9 +109,11 @@
   }
   const bool known = platform::is_known(store);
   const instant since = router.behind_since.try_emplace(peer, now).first->second;
-  if (known && now - since < ahead_before_asking) {
-    return;
+  if (now - router.items_asked_at < ahead_before_asking ||
+      (known && now - since < ahead_before_asking)) {
+    return;  // one peer is asked at a time: an answer may hold all items
   }
+  router.items_asked_at = now;
   router.behind_since[peer] = now;
   outgoing_message message;
   message.to = peer;
@@ -149,7 +139,7 @@
     tokens[use.organisation()] = {static_cast<double>(use.asked_tokens()),
                                   static_cast<double>(use.served_tokens())};
   }
-  set_peer_tokens(router.shares, from.address, std::move(tokens), now);
+  set_peer_tokens(router.shares, from.address, std::move(tokens), now + router.members.news_life);
   for (const wire::crash_report& report : gossip.crashes()) {
     note_peer_crashes(router.suspects, report.fingerprint(), from.address,
                       static_cast<int>(report.crashes()), now);
@@ -220,15 +210,20 @@
   gossip.set_leaving(router.stopping);
   gossip.set_operator_revision(router.store.newest_operator_revision);
   gossip.set_target_revision(router.store.newest_target_revision);
-  if (router.gossip_round++ % rounds_per_introduction == 0) {
-    add_peers(router, gossip, now);
+  const gossip_round round = next_round(router.members, now);
+  if (round.begins_cycle) {
+    begin_telling(router.loads);
     forget_peers(*router.peers, known_peers(router.members));
   }
   add_loads(router, gossip);
   add_organisations(router, gossip);
   add_crashes(router, gossip);
-  for (const router_address& peer : gossip_peers(router.members, now)) {
+  for (const router_address& peer : round.peers) {
     message.to = peer;
+    gossip.clear_peers();
+    for (const router_address& known : peers_to_tell(router.members, peer, router.random, now)) {
+      gossip.add_peers(known.value);
+    }
     send_message(*router.peers, message);
   }
 }
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -7,12 +7,13 @@
 #include "core/base/ip_endpoint.h"
 #include "core/base/version.h"
 #include "net/log.h"
-#include "router/router_state.h"
+#include "router/call_internal.h"
 
 namespace peridot {
 namespace {
 
 constexpr milliseconds tick{100};
+constexpr milliseconds turn_probe{1};  // the shortest time that is not in the same turn
 // From TERM: the balancer sends no new connections after two missed questions, one a
 // second; the rest is for callers that reuse connections.
 constexpr milliseconds close_idle_after{2'600};
@@ -104,14 +105,35 @@
   }
 }
 
+// Takes over how long a turn of the loop took, and tells the balancer and callers.
+void update_overload(router_state& router, duration turn, instant now) {
+  const bool before = router.overload.shedding;
+  note_turn(router.overload, turn, now);
+  if (router.overload.shedding == before) {
+    return;
+  }
+  announce_close(*router.callers, router.overload.shedding || router.stopping);
+  log_line(log_part::process, log_level::warn,
+           std::string(before ? "Instance is no longer overloaded." : "Instance is overloaded.") +
+               " turn_ms=" + ms_text(router.overload.turn) +
+               " calls=" + std::to_string(router.calls.size()) +
+               " connections=" + std::to_string(router.callers->open.size()));
+}
+
 void on_tick(router_state& router) {
   const instant now = current_time();
+  // Runs in the loop's next turn, after all sockets that are ready in this one.
+  run_after(router.base.get(), turn_probe, [&router, now]() {
+    const instant next = current_time();
+    update_overload(router, next - now - turn_probe, next);
+  });
   receive_messages(*router.peers);
   platform::expire_lapsed(router.store, now);
   clean_up(router);
   update_ready(router);
   update_level(router.shares,
                router.store.config == nullptr ? 0 : router.store.config->tokens_per_second, now);
+  expire_peer_loads(router.loads, now);
   expire_suspects(router.suspects, now);
   close_stale(router.targets, now);
   close_stale(router.store_reader.http, now);
@@ -128,7 +150,7 @@
   }
   router.stopping = true;
   router.stop_began = current_time();
-  announce_close(*router.callers);
+  announce_close(*router.callers, true);
   log_line(log_part::process, log_level::info,
            "Stopping gracefully. calls=" + std::to_string(router.calls.size()) +
                " connections=" + std::to_string(router.callers->open.size()));
@@ -264,7 +286,8 @@
   router.random.seed(static_cast<std::minstd_rand::result_type>(router.self.incarnation));
   router.started = current_time();
   router.targets.base = router.base.get();
-  router.members = make_membership(router.self, mesh_seeds(settings), router.started);
+  router.members =
+      make_membership(router.self, mesh_seeds(settings), settings.gossip_interval, router.started);
   if (!try_open([&router]() { return open_sockets(router); })) {
     flush_log();
     return 1;
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -111,13 +111,14 @@
   health_table health;
   cold_gate cold;
   share_table shares;
+  overload_state overload;
   suspect_table suspects;
   std::map<pool_name, pool_state> pools;
   std::vector<broken_run> broken_runs;
   std::unordered_map<std::uint32_t, target_name> target_by_hash;
   std::uint64_t hashed_generation = 0;
   std::uint64_t cleaned_generation = 0;
-  std::uint64_t gossip_round = 0;
+  instant items_asked_at{};                        // from a peer, last
   std::map<router_address, instant> behind_since;  // peers whose store is ahead of ours
 
   std::unordered_map<std::uint64_t, std::unique_ptr<live_call>> calls;
