Store: watches that wait the longer the more routers there are

Ruled out: one long wait for all (a router without peers would notice a silent store after 20 s only, and take entries that lapsed meanwhile for removals); a few routers that watch for all (their loss at one moment would cut everybody off).

Change: a watch waits about a second for each live peer, 20 s at most, drawn from half of that on, so that the fleet notices as soon as before. Who hears that a peer's calls fail, or that a peer's store has been ahead for half a second, makes its own watches anew and keeps them short; who has lost its peers as well.

--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -109,6 +109,9 @@
   }
   const bool known = platform::is_known(store);
   const instant since = router.behind_since.try_emplace(peer, now).first->second;
+  if (known && now - since >= ahead_before_asking) {
+    platform::look_closely(router.store_reader, now);  // the own watch should have told
+  }
   if (now - router.items_asked_at < ahead_before_asking ||
       (known && now - since < ahead_before_asking)) {
     return;  // one peer is asked at a time: an answer may hold all items
@@ -144,6 +147,9 @@
     note_peer_crashes(router.suspects, report.fingerprint(), from.address,
                       static_cast<int>(report.crashes()), now);
   }
+  if (gossip.store_disturbed()) {
+    platform::look_closely(router.store_reader, now);
+  }
   ask_if_behind(router, from.address, gossip, now);
 }
 
@@ -208,6 +214,7 @@
   wire::gossip& gossip = *message.message.mutable_gossip();
   gossip.set_domain(router.settings.domain.value);
   gossip.set_leaving(router.stopping);
+  gossip.set_store_disturbed(router.store.disturbed);
   gossip.set_operator_revision(router.store.newest_operator_revision);
   gossip.set_target_revision(router.store.newest_target_revision);
   const gossip_round round = next_round(router.members, now);
