Experiment: models of engines, baselines, scenarios; spill below the share

The decisions of the routers are played against baselines (no admission, least connections, plain rendezvous) on models of engines under virtual time: batch steps, chunked reading, one memory with least recently used parts, preemption. Scenarios have the sites' shapes and others.

Finding: where the engines suffice, admission refused calls that another engine could have begun at once: many-subjects 7 in 100 refused at some time, none need be.

Change: a call of an organisation below its share that would wait too long goes to the engine that begins soonest, if next to nothing waits there.

Store: in a fleet, pauses after failures and the spacing of watches grow with its size; a peer that loses the store or reaches it again is looked after once, not for as long as it says so.

--- a/core/fleet/membership.h
+++ b/core/fleet/membership.h
@@ -35,7 +35,8 @@
   std::uint64_t incarnation = 0;  // 0: never heard from
   domain_name domain;
   bool leaving = false;
-  bool introduced = false;  // was told whom this router knows
+  bool store_disturbed = false;  // its calls to the store fail, it says
+  bool introduced = false;       // was told whom this router knows
   instant last_heard{};
   instant alive_until{};
   instant last_tried{};
--- a/core/routing/admission.cc
+++ b/core/routing/admission.cc
@@ -22,9 +22,9 @@
 
 admission admit(const admission_input& input) {
   const duration slack = std::max(duration{0}, input.aim - input.own);
+  const double part = input.spilled ? spilled_slack_part : slack_part(input.share_position);
   const duration usable = scaled(input.left, usable_part) - input.own;
-  const duration limit =
-      std::min(scaled(slack, slack_part(input.share_position)) - input.waited, usable);
+  const duration limit = std::min(scaled(slack, part) - input.waited, usable);
   const bool idle = input.queued <= duration{0};
   if (input.queued <= limit || (idle && usable >= duration{0})) {
     return {};
--- a/core/routing/admission.h
+++ b/core/routing/admission.h
@@ -26,7 +26,8 @@
 inline constexpr double slack_part_below = 0.85;  // below its share, or while all can be served
 inline constexpr double slack_part_at = 0.3;      // has just had its share; then less in proportion
 inline constexpr double least_slack_part = 0.05;
-inline constexpr double usable_part = 0.85;  // of the caller's time, for the first token
+inline constexpr double spilled_slack_part = 0.05;  // an engine with that little to do has time
+inline constexpr double usable_part = 0.85;         // of the caller's time, for the first token
 inline constexpr milliseconds least_retry_after{120};
 inline constexpr double most_retry_part =
     0.32;  // of the time left; the platform's bound is a third
@@ -39,6 +40,7 @@
   duration left{};            // until it is given up
   double share_position = 0;  // 0: no shortage; else served over share
   double jitter = 0;          // 0 to 1, spreads the returns
+  bool spilled = false;       // the engine was chosen for its short queue alone
 };
 
 struct admission {
--- a/core/routing/placement.cc
+++ b/core/routing/placement.cc
@@ -197,7 +197,9 @@
                                       .write_ms = what.expected_out * token_ms_of(table, load),
                                       .left_ms = to_ms(call.left),
                                       .running = choice.running});
-    if (index == home) {
+    if (call.soonest) {
+      cost = choice.first_token_ms;
+    } else if (index == home) {
       cost -= (kept_somewhere ? home_pull : first_meeting) * shared / rate;
     }
     if (best.chosen == nullptr || cost < best_cost) {
--- a/core/routing/placement.h
+++ b/core/routing/placement.h
@@ -126,6 +126,7 @@
   double memory_tokens = 0;      // of each engine
   duration aim{};                // the shortest target latency of the pool's routes
   duration left{};               // until the call is given up
+  bool soonest = false;          // by the first token alone, whatever it costs others
 };
 
 placement choose_engine(const load_table& table, const std::vector<candidate>& candidates,
--- /dev/null
+++ b/experiment/fleet_model.cc
@@ -0,0 +1,544 @@
+#include "experiment/fleet_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+
+#include "core/base/stable_hash.h"
+#include "core/routing/admission.h"
+#include "core/routing/fair_share.h"
+#include "core/routing/placement.h"
+
+namespace peridot::experiment {
+namespace {
+
+constexpr double gossip_ms = 200;  // as the routers' setting
+constexpr milliseconds news_life{1'500};
+constexpr int most_sends = 2;        // a caller comes back once
+constexpr double output_weight = 2;  // of a token written, in the shares
+constexpr double size_floor = 0.3;   // of a call's worth, whatever its size
+
+enum class event_kind { arrival, step, gossip, give_up };
+
+struct timed_event {
+  double at_ms = 0;
+  std::uint64_t order = 0;  // makes equal times deterministic
+  event_kind kind = event_kind::arrival;
+  std::size_t index = 0;  // of the call, engine or router
+};
+
+bool operator>(const timed_event& left, const timed_event& right) {
+  return left.at_ms != right.at_ms ? left.at_ms > right.at_ms : left.order > right.order;
+}
+
+struct model_call {
+  std::size_t kind = 0;
+  std::size_t organisation = 0;
+  prompt what;
+  double tokens_out = 0;
+  double worth = 0;
+  double arrived_ms = 0;
+  double first_ms = -1;  // the first token, from the first attempt
+  int sends = 0;
+  int refusals = 0;
+  bool ended = false;
+  bool gone = false;  // refused for good, or its caller left
+  std::size_t router = 0;
+  std::size_t engine = 0;
+  call_cost cost;
+  bool at_engine = false;
+};
+
+struct model_router {
+  load_table loads;
+  share_table shares;
+};
+
+struct model {
+  const scenario* what = nullptr;
+  policy how = policy::peridot;
+  std::mt19937_64 random;
+  std::vector<model_call> calls;
+  std::vector<model_router> routers;
+  std::vector<engine_model> engines;
+  std::vector<bool> stepping;
+  std::vector<candidate> candidates;
+  std::priority_queue<timed_event, std::vector<timed_event>, std::greater<>> events;
+  std::uint64_t order = 0;
+  std::set<std::uint64_t> parts_read;  // by any engine
+  double shared_again = 0;
+  double now_ms = 0;
+};
+
+instant at(double time_ms) {
+  return instant{} + std::chrono::hours{1} +
+         std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(time_ms));
+}
+
+void add_event(model& world, double at_ms, event_kind kind, std::size_t index) {
+  world.events.push({at_ms, world.order++, kind, index});
+}
+
+double draw_tokens(std::mt19937_64& random, const chain_level& level) {
+  std::normal_distribution<double> normal(-level.spread * level.spread / 2, level.spread);
+  return std::max(16.0, level.mean_tokens * std::exp(normal(random)));
+}
+
+// Size of a thing, equal for all who share it.
+double thing_tokens(const chain_level& level, std::uint64_t thing) {
+  std::mt19937_64 random(thing);
+  return draw_tokens(random, level);
+}
+
+// By the inverse of the distribution's continuous form: P(rank < r) = (r / n)^(1 - skew).
+std::uint64_t draw_thing(std::mt19937_64& random, const chain_level& level) {
+  const double part = std::uniform_real_distribution<double>(0, 1)(random);
+  const double rank = level.things * std::pow(part, 1 / (1 - level.skew));
+  return std::min(static_cast<std::uint64_t>(rank), static_cast<std::uint64_t>(level.things - 1));
+}
+
+double surge_factor(const scenario& what, surge::what of, int index, double at_s) {
+  double factor = 1;
+  for (const surge& one : what.surges) {
+    if (one.of == of && one.index == index && at_s >= one.from_s && at_s < one.from_s + one.for_s) {
+      factor *= one.times;
+    }
+  }
+  return factor;
+}
+
+prompt make_prompt(model& world, const call_kind_model& kind, std::size_t kind_index,
+                   std::uint64_t call, double at_s) {
+  prompt what;
+  what.model = "m";
+  std::uint64_t hash = kind_index + 1;
+  double tokens = 0;
+  const double hot =
+      surge_factor(*world.what, surge::what::subject, static_cast<int>(kind_index), at_s);
+  const bool is_hot = hot < 1 && std::uniform_real_distribution<double>(0, 1)(world.random) < hot;
+  for (const chain_level& level : kind.shared) {
+    const std::uint64_t thing = is_hot ? 0 : draw_thing(world.random, level);
+    hash = stable_hash(std::to_string(thing), hash);
+    tokens += thing_tokens(level, hash);
+    what.prefixes.push_back({hash, tokens});
+  }
+  tokens += draw_tokens(world.random, kind.own);
+  what.prefixes.push_back({stable_hash("call", call + 1'000'000), tokens});
+  what.tokens_in = tokens;
+  return what;
+}
+
+std::size_t draw_organisation(model& world, double at_s) {
+  // A few are large: weights fall as 1, 1/2, 1/3, ...
+  std::vector<double> weights;
+  for (int one = 0; one < world.what->organisations; ++one) {
+    weights.push_back(surge_factor(*world.what, surge::what::organisation, one, at_s) / (one + 1));
+  }
+  return std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(world.random);
+}
+
+void add_calls_of_kind(model& world, std::size_t index) {
+  const call_kind_model& kind = world.what->kinds[index];
+  double time_s = 0;
+  while (true) {
+    const double rate = kind.per_second * surge_factor(*world.what, surge::what::kind,
+                                                       static_cast<int>(index), time_s);
+    time_s += std::exponential_distribution<double>(rate)(world.random);
+    if (time_s >= world.what->seconds) {
+      return;
+    }
+    model_call call;
+    call.kind = index;
+    call.organisation = draw_organisation(world, time_s);
+    call.what = make_prompt(world, kind, index, world.calls.size(), time_s);
+    call.tokens_out =
+        std::max(1.0, std::round(draw_tokens(world.random, {kind.tokens_out, 0.5, 0})));
+    call.what.tokens_out = call.tokens_out * 2;
+    call.what.expected_out = call.tokens_out;
+    call.arrived_ms = time_s * 1'000;
+    call.worth = kind.worth;
+    world.calls.push_back(std::move(call));
+  }
+}
+
+// A call is worth a part of its kind's worth at least, the rest by its size.
+void scale_worth(model& world) {
+  for (std::size_t kind = 0; kind < world.what->kinds.size(); ++kind) {
+    double sum = 0;
+    double count = 0;
+    for (const model_call& call : world.calls) {
+      sum += call.kind == kind ? call.what.tokens_in + 10 * call.tokens_out : 0;
+      count += call.kind == kind ? 1 : 0;
+    }
+    for (model_call& call : world.calls) {
+      if (call.kind == kind) {
+        const double size = (call.what.tokens_in + 10 * call.tokens_out) / (sum / count);
+        call.worth *= std::min(4.0, size_floor + (1 - size_floor) * size);
+      }
+    }
+  }
+}
+
+double share_tokens(const model_call& call) {
+  return call.what.tokens_in + output_weight * call.tokens_out;
+}
+
+organisation_name name_of(std::size_t organisation) {
+  return organisation_name{"org-" + std::to_string(organisation)};
+}
+
+void wake(model& world, std::size_t engine) {
+  if (!world.stepping[engine]) {
+    world.stepping[engine] = true;
+    add_event(world, world.now_ms, event_kind::step, engine);
+  }
+}
+
+placement choose(model& world, model_call& call, bool soonest) {
+  model_router& router = world.routers[call.router];
+  const call_kind_model& kind = world.what->kinds[call.kind];
+  placement where;
+  if (world.how == policy::least_connections || world.how == policy::rendezvous) {
+    const std::uint64_t subject = call.what.prefixes.size() >= 2
+                                      ? call.what.prefixes[call.what.prefixes.size() - 2].hash
+                                      : call.what.prefixes.back().hash;
+    double best = 0;
+    for (const candidate& one : world.candidates) {
+      const double score = world.how == policy::rendezvous
+                               ? static_cast<double>(stable_hash(one.name.value, subject))
+                               : -router.loads.targets[one.name].running;
+      if (where.chosen == nullptr || score > best) {
+        where.chosen = &one;
+        best = score;
+      }
+    }
+    return where;
+  }
+  const double left = call.arrived_ms + kind.deadline_ms - world.now_ms;
+  double shortest_aim = kind.aim_ms;
+  for (const call_kind_model& other : world.what->kinds) {
+    shortest_aim = std::min(shortest_aim, other.aim_ms);
+  }
+  return choose_engine(router.loads, world.candidates,
+                       {.what = &call.what,
+                        .memory_tokens = world.what->engine.memory_tokens,
+                        .aim = from_ms(shortest_aim),
+                        .left = from_ms(left),
+                        .soonest = soonest});
+}
+
+admission verdict_of(const model& world, const model_call& call, const placement& where,
+                     bool spilled, double jitter) {
+  const call_kind_model& kind = world.what->kinds[call.kind];
+  return admit({.queued = from_ms(where.queue_ms),
+                .own = from_ms(where.first_token_ms - where.queue_ms),
+                .waited = duration{0},
+                .aim = from_ms(kind.aim_ms),
+                .left = from_ms(call.arrived_ms + kind.deadline_ms - world.now_ms),
+                .share_position =
+                    share_position(world.routers[call.router].shares, name_of(call.organisation)),
+                .jitter = jitter,
+                .spilled = spilled});
+}
+
+bool is_admitted(const model& world, const model_call& call, const placement& where, bool spilled) {
+  return world.how != policy::peridot || verdict_of(world, call, where, spilled, 0).admitted;
+}
+
+// The caller comes back once.
+void refuse(model& world, std::size_t index, const placement& where) {
+  model_call& call = world.calls[index];
+  const double jitter = std::uniform_real_distribution<double>(0, 1)(world.random);
+  const admission verdict = verdict_of(world, call, where, false, jitter);
+  ++call.refusals;
+  if (call.sends < most_sends) {
+    add_event(world, world.now_ms + to_ms(verdict.retry_after), event_kind::arrival, index);
+  } else {
+    call.gone = true;
+  }
+}
+
+void on_arrival(model& world, std::size_t index) {
+  model_call& call = world.calls[index];
+  const call_kind_model& kind = world.what->kinds[call.kind];
+  if (call.sends == 0) {
+    add_event(world, call.arrived_ms + kind.deadline_ms, event_kind::give_up, index);
+  }
+  ++call.sends;
+  call.router = world.random() % world.routers.size();
+  model_router& router = world.routers[call.router];
+  note_asked(router.shares, name_of(call.organisation), share_tokens(call), at(world.now_ms));
+  placement where = choose(world, call, false);
+  if (!is_admitted(world, call, where, false)) {
+    const placement first = where;
+    where = choose(world, call, true);
+    if (!is_admitted(world, call, where, true)) {
+      refuse(world, index, first);
+      return;
+    }
+  }
+  call.engine = static_cast<std::size_t>(where.chosen - world.candidates.data());
+  call.cost = note_sent(router.loads, where.chosen->name, &call.what,
+                        world.what->engine.memory_tokens, at(world.now_ms));
+  call.at_engine = true;
+  engine_run run;
+  run.id = index;
+  run.what = call.what;
+  run.tokens_out = call.tokens_out;
+  submit(world.engines[call.engine], std::move(run));
+  wake(world, call.engine);
+}
+
+void leave_engine(model& world, model_call& call) {
+  call.at_engine = false;
+  note_ended(world.routers[call.router].loads, world.candidates[call.engine].name, call.cost);
+}
+
+void on_first_token(model& world, std::size_t index, double when_ms) {
+  model_call& call = world.calls[index];
+  if (call.first_ms >= 0) {
+    return;  // it was preempted and starts anew
+  }
+  call.first_ms = when_ms - call.arrived_ms;
+  model_router& router = world.routers[call.router];
+  note_first_token(router.loads, world.candidates[call.engine].name, call.cost, at(when_ms));
+  note_served(router.shares, name_of(call.organisation), share_tokens(call), at(when_ms));
+}
+
+void on_step(model& world, std::size_t engine) {
+  const step_result done = take_step(world.engines[engine], world.now_ms);
+  for (const read_part& part : done.read) {
+    if (part.shared && !world.parts_read.insert(part.hash).second) {
+      world.shared_again += part.tokens;
+    }
+  }
+  const double end_ms = world.now_ms + done.duration_ms;
+  for (std::uint64_t index : done.first_token) {
+    on_first_token(world, index, end_ms);
+  }
+  for (std::uint64_t index : done.ended) {
+    world.calls[index].ended = true;
+    leave_engine(world, world.calls[index]);
+  }
+  world.stepping[engine] = done.duration_ms > 0;
+  if (done.duration_ms > 0) {
+    add_event(world, end_ms, event_kind::step, engine);
+  }
+}
+
+void on_give_up(model& world, std::size_t index) {
+  model_call& call = world.calls[index];
+  if (call.ended || call.gone) {
+    return;
+  }
+  call.gone = true;
+  if (call.at_engine) {
+    cancel(world.engines[call.engine], index, world.now_ms);
+    leave_engine(world, call);
+  }
+}
+
+// One router tells all others.
+void on_gossip(model& world, std::size_t index) {
+  model_router& from = world.routers[index];
+  const router_address name{std::to_string(index)};
+  const instant until = at(world.now_ms) + news_life;
+  begin_telling(from.loads);
+  std::map<std::uint64_t, peer_tokens> tokens;
+  for (const std::pair<const organisation_name, token_window>& entry : from.shares.own) {
+    tokens[stable_hash(entry.first.value)] = {entry.second.asked_sum, entry.second.served_sum};
+  }
+  for (std::size_t other = 0; other < world.routers.size(); ++other) {
+    if (other == index) {
+      continue;
+    }
+    model_router& to = world.routers[other];
+    for (const std::pair<const target_name, target_load>& entry : from.loads.targets) {
+      const target_load& load = entry.second;
+      note_peer_load(to.loads, name, entry.first, {load.running, load.unread, load.memory, until},
+                     load.telling.prefixes, load.telling.tokens);
+    }
+    set_peer_tokens(to.shares, name, tokens, until);
+  }
+  expire_peer_loads(from.loads, at(world.now_ms));
+  update_level(from.shares, world.what->tokens_per_s, at(world.now_ms));
+  add_event(world, world.now_ms + gossip_ms, event_kind::gossip, index);
+}
+
+void run(model& world) {
+  double longest = 0;
+  for (const call_kind_model& kind : world.what->kinds) {
+    longest = std::max(longest, kind.deadline_ms);
+  }
+  while (!world.events.empty()) {
+    const timed_event next = world.events.top();
+    world.events.pop();
+    world.now_ms = next.at_ms;
+    if (world.now_ms > world.what->seconds * 1'000 + longest) {
+      return;
+    }
+    switch (next.kind) {
+      case event_kind::arrival:
+        on_arrival(world, next.index);
+        break;
+      case event_kind::step:
+        on_step(world, next.index);
+        break;
+      case event_kind::gossip:
+        on_gossip(world, next.index);
+        break;
+      case event_kind::give_up:
+        on_give_up(world, next.index);
+        break;
+    }
+  }
+}
+
+double earned(const model& world, const model_call& call) {
+  const call_kind_model& kind = world.what->kinds[call.kind];
+  if (!call.ended) {
+    return 0;
+  }
+  return call.first_ms <= kind.aim_ms ? call.worth : call.worth * kind.late_worth / kind.worth;
+}
+
+// The lowest share earned by a group of calls; small groups say nothing.
+template <class Group>
+double worst_of(const model& world, Group group) {
+  constexpr int least_calls = 30;
+  struct sums {
+    double earned = 0;
+    double worth = 0;
+    int calls = 0;
+  };
+  std::map<std::size_t, sums> groups;
+  for (const model_call& call : world.calls) {
+    sums& one = groups[group(call)];
+    one.earned += earned(world, call);
+    one.worth += call.worth;
+    ++one.calls;
+  }
+  double worst = 1;
+  for (const std::pair<const std::size_t, sums>& one : groups) {
+    worst = one.second.calls < least_calls ? worst
+                                           : std::min(worst, one.second.earned / one.second.worth);
+  }
+  return worst;
+}
+
+double largest_tenth_served(const model& world) {
+  std::vector<const model_call*> first;
+  for (const model_call& call : world.calls) {
+    if (call.kind == 0) {
+      first.push_back(&call);
+    }
+  }
+  std::sort(first.begin(), first.end(), [](const model_call* left, const model_call* right) {
+    return left->what.tokens_in > right->what.tokens_in;
+  });
+  first.resize(std::max<std::size_t>(1, first.size() / 10));
+  const auto served =
+      std::count_if(first.begin(), first.end(), [](const model_call* call) { return call->ended; });
+  return static_cast<double>(served) / static_cast<double>(first.size());
+}
+
+double quantile(std::vector<double>& values, double part) {
+  if (values.empty()) {
+    return 0;
+  }
+  const std::size_t index = static_cast<std::size_t>(part * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index),
+                   values.end());
+  return values[index];
+}
+
+outcome summarize(const model& world) {
+  outcome result;
+  result.calls = world.calls.size();
+  double worth = 0;
+  double refused = 0;
+  double returned = 0;
+  std::vector<double> first;
+  for (const model_call& call : world.calls) {
+    worth += call.worth;
+    result.worth += earned(world, call);
+    result.served += call.ended ? 1 : 0;
+    refused += call.refusals > 0 ? 1 : 0;
+    returned += call.refusals > 0 && call.ended ? 1 : 0;
+    if (call.first_ms >= 0) {
+      first.push_back(call.first_ms);
+    }
+  }
+  const double calls = static_cast<double>(world.calls.size());
+  result.worth /= worth;
+  result.served /= calls;
+  result.refused = refused / calls;
+  result.returned = refused > 0 ? returned / refused : 1;
+  result.first_p50_ms = quantile(first, 0.5);
+  result.first_p95_ms = quantile(first, 0.95);
+  double read = 0;
+  double kept = 0;
+  double busiest = 0;
+  for (const engine_model& engine : world.engines) {
+    read += engine.tokens_read;
+    kept += engine.tokens_kept;
+    busiest = std::max(busiest, engine.tokens_read);
+  }
+  result.saved = kept / (kept + read);
+  result.shared_again = world.shared_again / (kept + read);
+  result.busiest = busiest / read * static_cast<double>(world.engines.size());
+  result.worst_organisation =
+      worst_of(world, [](const model_call& call) { return call.organisation; });
+  result.worst_kind = worst_of(world, [](const model_call& call) { return call.kind; });
+  result.largest_tenth = largest_tenth_served(world);
+  return result;
+}
+
+}  // namespace
+
+const char* to_text(policy value) {
+  switch (value) {
+    case policy::peridot:
+      return "peridotspur";
+    case policy::no_admission:
+      return "no admission";
+    case policy::least_connections:
+      return "least connections";
+    case policy::rendezvous:
+      return "rendezvous";
+  }
+  return "";
+}
+
+outcome play(const scenario& what, policy how, std::uint64_t seed) {
+  model world;
+  world.what = &what;
+  world.how = how;
+  world.random.seed(seed);
+  for (std::size_t kind = 0; kind < what.kinds.size(); ++kind) {
+    add_calls_of_kind(world, kind);
+  }
+  scale_worth(world);
+  world.routers.resize(static_cast<std::size_t>(what.routers));
+  world.engines.resize(static_cast<std::size_t>(what.engines));
+  world.stepping.resize(world.engines.size(), false);
+  for (std::size_t engine = 0; engine < world.engines.size(); ++engine) {
+    world.engines[engine].options = what.engine;
+    world.candidates.push_back(
+        {target_name{"engine-" + std::to_string(engine)}, what.engine.slots, false});
+  }
+  for (std::size_t call = 0; call < world.calls.size(); ++call) {
+    add_event(world, world.calls[call].arrived_ms, event_kind::arrival, call);
+  }
+  for (std::size_t router = 0; router < world.routers.size(); ++router) {
+    add_event(world, gossip_ms * static_cast<double>(router) / what.routers, event_kind::gossip,
+              router);
+  }
+  run(world);
+  return summarize(world);
+}
+
+}  // namespace peridot::experiment
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -1,6 +1,7 @@
 // Where calls go: candidates, the choice, refusals, and whether to send again.
 
 #include <algorithm>
+#include <optional>
 
 #include "core/base/check.h"
 #include "core/base/stable_hash.h"
@@ -94,7 +95,8 @@
   return find_pool(*call.config, call.way->pools.back().pool);
 }
 
-placement choose(live_call& call, const pool& home, const std::vector<candidate>& candidates) {
+placement choose(const live_call& call, const pool& home, const std::vector<candidate>& candidates,
+                 bool soonest) {
   const load_table& loads = call.router->loads;
   const instant now = current_time();
   if (home.engine && call.request.what_to_read.has_value()) {
@@ -102,7 +104,8 @@
                          {.what = &*call.request.what_to_read,
                           .memory_tokens = home.memory_tokens,
                           .aim = home.shortest_aim,
-                          .left = call.give_up_at - now});
+                          .left = call.give_up_at - now,
+                          .soonest = soonest});
   }
   return choose_plain(loads, candidates, stable_hash(call.request.id));
 }
@@ -121,52 +124,93 @@
   return all.healthy.empty() ? all.avoided : all.healthy;
 }
 
-// Refuses a call that cannot be begun in time. True if it was refused.
-bool refuse_if_late(live_call& call, const pool& home, const placement& where) {
+admission verdict_of(const live_call& call, const placement& where, bool spilled) {
+  const instant now = current_time();
+  return admit({.queued = from_ms(where.queue_ms),
+                .own = from_ms(where.first_token_ms - where.queue_ms),
+                .waited = now - call.arrived,
+                .aim = call.way->target_latency,
+                .left = call.give_up_at - now,
+                .share_position = call.position,
+                .jitter = random_part(*call.router),
+                .spilled = spilled});
+}
+
+// Refuses a call because this instance is behind. True if it was refused.
+bool refuse_if_busy(live_call& call, const pool& home) {
   router_state& router = *call.router;
   const instant now = current_time();
-  const double predicted = where.first_token_ms;
-  call.predicted_ms = predicted;
-  if (call.sends > 0) {
-    return false;  // what was begun is brought to its end
-  }
-  const bool peers_alive = live_count(router.members, now) > 0;
-  if (refuses_new(router.overload, call.way->target_latency, peers_alive)) {
-    end_with_refusal(call, refusal::instance_busy,
-                     retry_after(least_retry_after, call.give_up_at - now, random_part(router)));
-    return true;
-  }
-  if (!home.engine) {
-    const double places = plain_queue_part * where.chosen->slots;
-    if (where.running < places) {
-      return false;
-    }
-    end_with_refusal(call, refusal::overloaded,
-                     retry_after(from_ms(predicted), call.give_up_at - now, random_part(router)));
-    return true;
+  // The calls with the longest aims have the longest streams: they weigh as much.
+  const duration aim = std::min<duration>(call.way->target_latency, home.shortest_aim);
+  if (!refuses_new(router.overload, aim, live_count(router.members, now) > 0)) {
+    return false;
   }
-  call.position = share_position(router.shares, call.caller);
-  const admission verdict = admit({.queued = from_ms(where.queue_ms),
-                                   .own = from_ms(predicted - where.queue_ms),
-                                   .waited = now - call.arrived,
-                                   .aim = call.way->target_latency,
-                                   .left = call.give_up_at - now,
-                                   .share_position = call.position,
-                                   .jitter = random_part(router)});
-  if (verdict.admitted) {
+  end_with_refusal(call, refusal::instance_busy,
+                   retry_after(least_retry_after, call.give_up_at - now, random_part(router)));
+  return true;
+}
+
+// Refuses a call for which no plain target has a place in its queue.
+bool refuse_if_queued(live_call& call, const placement& where) {
+  if (where.running < plain_queue_part * where.chosen->slots) {
     return false;
   }
+  end_with_refusal(call, refusal::overloaded,
+                   retry_after(from_ms(where.first_token_ms), call.give_up_at - current_time(),
+                               random_part(*call.router)));
+  return true;
+}
+
+void refuse_late(live_call& call, const placement& where, const admission& verdict) {
   log_line(log_part::http, log_level::warn,
            "Call not taken on. call=" + call.request.id + " reason=" + to_text(verdict.why) +
                " best_target=" + where.chosen->name.value +
-               " predicted_ms=" + std::to_string(static_cast<int>(predicted)) +
+               " predicted_ms=" + std::to_string(static_cast<int>(where.first_token_ms)) +
+               " queue_ms=" + std::to_string(static_cast<int>(where.queue_ms)) +
                " aim_ms=" + ms_text(call.way->target_latency) +
                " unread_ahead=" + std::to_string(static_cast<int>(where.unread_ahead)) +
                " kept=" + std::to_string(static_cast<int>(where.kept_tokens)) + " share_position=" +
                seconds_text(std::chrono::duration_cast<duration>(
                    std::chrono::duration<double>(call.position))));
   end_with_refusal(call, verdict.why, verdict.retry_after);
-  return true;
+}
+
+// The engine for a new call: the one of least cost; if the wait there is too long, the
+// one that begins soonest, where little is waiting. Nothing if the call was refused.
+std::optional<placement> place_prompt(live_call& call, const pool& home,
+                                      const std::vector<candidate>& candidates) {
+  call.position = share_position(call.router->shares, call.caller);
+  const placement where = choose(call, home, candidates, false);
+  call.predicted_ms = where.first_token_ms;
+  const admission verdict = verdict_of(call, where, false);
+  if (verdict.admitted) {
+    return where;
+  }
+  const placement soonest = choose(call, home, candidates, true);
+  if (call.position < 1 && verdict_of(call, soonest, true).admitted) {
+    call.predicted_ms = soonest.first_token_ms;
+    return soonest;
+  }
+  refuse_late(call, where, verdict);
+  return std::nullopt;
+}
+
+// Where the call goes. Nothing if it was refused.
+std::optional<placement> place(live_call& call, const pool& home,
+                               const std::vector<candidate>& candidates) {
+  const bool is_new = call.sends == 0;  // what was begun is brought to its end
+  if (is_new && refuse_if_busy(call, home)) {
+    return std::nullopt;
+  }
+  if (is_new && home.engine && call.request.what_to_read.has_value()) {
+    return place_prompt(call, home, candidates);
+  }
+  const placement where = choose(call, home, candidates, false);
+  call.predicted_ms = where.first_token_ms;
+  if (is_new && !home.engine && refuse_if_queued(call, where)) {
+    return std::nullopt;
+  }
+  return where;
 }
 
 // No target can take the call now.
@@ -202,15 +246,15 @@
     end_without_target(call);
     return;
   }
-  const placement where = choose(call, *home, candidates);
-  if (refuse_if_late(call, *home, where)) {
+  const std::optional<placement> where = place(call, *home, candidates);
+  if (!where.has_value()) {
     return;
   }
-  const target_state& target = router.store.targets.targets.at(where.chosen->name);
+  const target_state& target = router.store.targets.targets.at(where->chosen->name);
   if (now < target.cold_until) {
     note_cold_send(router.cold, target.entry.name, now);
   }
-  start_attempt(call, target, where);
+  start_attempt(call, target, *where);
 }
 
 void end_attempt(live_call& call, call_result result) {
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -1,6 +1,7 @@
 // Gossip between routers, and the store's items for those whom the store turns away.
 
 #include <algorithm>
+#include <utility>
 
 #include "core/base/stable_hash.h"
 #include "core/fleet/peer_messages.h"
@@ -125,6 +126,21 @@
   send_message(*router.peers, message);
 }
 
+// A peer that has lost the store, or reached it again, is a reason to look ourselves.
+void take_store_news(router_state& router, const router_address& peer, bool disturbed,
+                     instant now) {
+  auto found = router.members.peers.find(peer);
+  if (found == router.members.peers.end() ||
+      std::exchange(found->second.store_disturbed, disturbed) == disturbed) {
+    return;
+  }
+  if (disturbed) {
+    platform::look_closely(router.store_reader, now);
+  } else {
+    platform::try_at_once(router.store_reader);
+  }
+}
+
 void on_gossip(router_state& router, const router_identity& from, const wire::gossip& gossip) {
   const instant now = current_time();
   std::vector<router_address> knows;
@@ -147,9 +163,7 @@
     note_peer_crashes(router.suspects, report.fingerprint(), from.address,
                       static_cast<int>(report.crashes()), now);
   }
-  if (gossip.store_disturbed()) {
-    platform::look_closely(router.store_reader, now);
-  }
+  take_store_news(router, from.address, gossip.store_disturbed(), now);
   ask_if_behind(router, from.address, gossip, now);
 }
 
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -135,8 +135,7 @@
                router.store.config == nullptr ? 0 : router.store.config->tokens_per_second, now);
   expire_peer_loads(router.loads, now);
   expire_suspects(router.suspects, now);
-  platform::set_watch_wait(router.store_reader,
-                           platform::fleet_watch_wait(live_count(router.members, now)), now);
+  platform::set_fleet_size(router.store_reader, live_count(router.members, now), now);
   close_stale(router.targets, now);
   close_stale(router.store_reader.http, now);
   if (router.stopping) {
