--- a/core/fleet/membership.cc
+++ b/core/fleet/membership.cc
@@ -118,15 +118,22 @@
   return round;
 }
 
-std::vector<router_address> peers_to_tell(membership_table& table, const router_address& peer,
-                                          std::minstd_rand& random, instant now) {
-  std::vector<router_address> alive = live_peers(table, now);
-  std::size_t most = introduced_peers;
+bool needs_introduction(const membership_table& table, const router_address& peer) {
+  auto found = table.peers.find(peer);
+  return found != table.peers.end() && !found->second.introduced;
+}
+
+void note_introduced(membership_table& table, const router_address& peer, instant now) {
   auto found = table.peers.find(peer);
   if (found != table.peers.end()) {
-    most = found->second.introduced ? reminded_peers : introduced_peers;
-    found->second.introduced = found->second.introduced || is_alive(found->second, now);
+    // A silent peer may not have got it.
+    found->second.introduced = is_alive(found->second, now);
   }
+}
+
+std::vector<router_address> peers_to_tell(const membership_table& table, std::size_t most,
+                                          std::minstd_rand& random, instant now) {
+  std::vector<router_address> alive = live_peers(table, now);
   std::shuffle(alive.begin(), alive.end(), random);
   alive.resize(std::min(alive.size(), most));
   return alive;
--- a/core/fleet/membership.h
+++ b/core/fleet/membership.h
@@ -6,7 +6,7 @@
 //   membership_table members = make_membership(self, seeds, gossip_interval, now);
 //   on_peer(members, from, told_peers, leaving, domain, now);    // each gossip
 //   gossip_round round = next_round(members, now);
-//   for (const router_address& peer : round.peers) send(peers_to_tell(members, peer, ...))
+//   send(round.peers, peers_to_tell(members, reminded_peers, random, now));
 //
 // Traffic: a round goes to `round_peers` peers at most. A cycle of rounds reaches
 // everybody once; what is told counts for two and a half cycles (`news_life`), so that
@@ -78,8 +78,12 @@
 // Whom to send this round's gossip: live peers whose turn it is, and silent ones.
 gossip_round next_round(membership_table& table, instant now);
 
-// Whom to tell `peer` of: everybody alive the first time, then a few at random.
-std::vector<router_address> peers_to_tell(membership_table& table, const router_address& peer,
+// A peer that is new, or has restarted, is told of everybody alive, others of a few.
+bool needs_introduction(const membership_table& table, const router_address& peer);
+void note_introduced(membership_table& table, const router_address& peer, instant now);
+
+// Live peers, `most` of them, drawn at random.
+std::vector<router_address> peers_to_tell(const membership_table& table, std::size_t most,
                                           std::minstd_rand& random, instant now);
 
 // Forgets peers that are neither seeds nor heard from for `remembered_for`.
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -277,7 +277,7 @@
   return newest;
 }
 
-void write_call(client_connection& connection, const http_call& call) {
+std::string text_of(const http_call& call) {
   std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
   for (const http_header& header : call.headers) {
     text += header.name + ": " + header.value + "\r\n";
@@ -286,9 +286,7 @@
     text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
   }
   text += "\r\n";
-  evbuffer* output = bufferevent_get_output(connection.stream);
-  evbuffer_add(output, text.data(), text.size());
-  evbuffer_add(output, call.body.data(), call.body.size());
+  return text + call.body;
 }
 
 }  // namespace
@@ -320,12 +318,13 @@
   next_answer(*connection);
   if (reused) {
     handle->sent = true;
-    write_call(*connection, handle->call);
+    write_now(connection->stream, text_of(handle->call));
     arm(*connection, handle->call.idle_timeout);
     return handle;
   }
   arm(*connection, handle->call.connect_timeout);
-  write_call(*connection, handle->call);
+  const std::string text = text_of(handle->call);
+  bufferevent_write(connection->stream, text.data(), text.size());  // once it is connected
   bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
   if (!begin_connect(*connection)) {
     // The library reports most failures by an event; this one it could not.
--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -76,7 +76,13 @@
     text += "Keep-Alive: timeout=" + std::to_string(idle.count()) + "\r\n";
   }
   text += "\r\n";
-  bufferevent_write(connection.stream, text.data(), text.size());
+  connection.unsent += text;
+}
+
+// Writes the head and what was added to it.
+void flush(http_connection& connection) {
+  const std::string text = std::exchange(connection.unsent, {});
+  write_now(connection.stream, text);
 }
 
 // Answers a request that the handler never sees, and ends the connection.
@@ -93,9 +99,12 @@
   }
   write_head(connection, status, headers,
              "Content-Length: " + std::to_string(body.size()) + "\r\n");
-  bufferevent_write(connection.stream, body.data(), body.size());
+  connection.unsent += body;
+  // Through the loop, so that the connection is closed once all is written.
+  const std::string whole = std::exchange(connection.unsent, {});
+  bufferevent_write(connection.stream, whole.data(), whole.size());
   connection.reading = false;
-  arm(connection, connection.listener->options.stall_timeout);  // closed once it is written
+  arm(connection, connection.listener->options.stall_timeout);
 }
 
 void await_request(http_connection& connection) {
@@ -277,20 +286,6 @@
                       BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
-// Writes to the socket at once if nothing waits before; what does not fit is buffered.
-// An event of a stream then costs one system call in place of four: through the buffer
-// alone, the loop would watch the socket for writing, wait, write, and stop watching.
-void write_now(http_connection& connection, std::string_view data) {
-  if (evbuffer_get_length(bufferevent_get_output(connection.stream)) == 0) {
-    // An error is left to the buffered write, which reports it.
-    const ssize_t sent = ::write(bufferevent_getfd(connection.stream), data.data(), data.size());
-    data.remove_prefix(static_cast<std::size_t>(std::max<ssize_t>(0, sent)));
-  }
-  if (!data.empty()) {
-    bufferevent_write(connection.stream, data.data(), data.size());
-  }
-}
-
 bool is_head_request(const http_exchange& exchange) {
   return exchange.head.method == "HEAD";
 }
@@ -391,16 +386,15 @@
   if (exchange.connection == nullptr || data.empty() || is_head_request(exchange)) {
     return;
   }
-  if (!exchange.chunked) {
-    write_now(*exchange.connection, data);
-    return;
+  std::string& text = exchange.connection->unsent;
+  if (exchange.chunked) {
+    char size[sizeof(std::size_t) * 2 + 3];  // in hexadecimal, a line break, the final zero
+    std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+    text.append(size).append(data).append("\r\n");
+  } else {
+    text.append(data);
   }
-  char size[sizeof(std::size_t) * 2 + 3];  // in hexadecimal, a line break, the final zero
-  std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
-  std::string chunk;
-  chunk.reserve(sizeof(size) + data.size() + 2);
-  chunk.append(size).append(data).append("\r\n");
-  write_now(*exchange.connection, chunk);
+  flush(*exchange.connection);
 }
 
 void reply_end(http_exchange& exchange) {
@@ -408,8 +402,9 @@
     return;
   }
   if (exchange.chunked && !is_head_request(exchange)) {
-    bufferevent_write(exchange.connection->stream, "0\r\n\r\n", 5);
+    exchange.connection->unsent += "0\r\n\r\n";
   }
+  flush(*exchange.connection);
   finish_exchange(exchange);
 }
 
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -82,6 +82,7 @@
   bool reading = false;        // a request has begun to arrive
   bool close_next = false;     // after the current answer
   bool lingering = false;      // only reads until the caller closes
+  std::string unsent;          // the head of the answer, until its first data
   std::size_t body_bytes = 0;  // counted against max_body_total
   std::size_t answered = 0;
 };
@@ -124,7 +125,8 @@
 // a transfer coding or headers of one connection.
 void reply(http_exchange& exchange, int status, const std::vector<http_header>& headers,
            std::string_view body);
-// `length`: of the body where it is known; otherwise it is sent in chunks.
+// `length`: of the body where it is known; otherwise it is sent in chunks. The head
+// leaves with the first data or the end.
 void reply_begin(http_exchange& exchange, int status, const std::vector<http_header>& headers,
                  std::optional<std::uint64_t> length);
 void reply_data(http_exchange& exchange, std::string_view data);
--- a/net/loop.cc
+++ b/net/loop.cc
@@ -1,5 +1,8 @@
 #include "net/loop.h"
 
+#include <unistd.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace peridot {
@@ -26,6 +29,16 @@
   return timeval{static_cast<time_t>(seconds.count()), static_cast<suseconds_t>(rest.count())};
 }
 
+void write_now(bufferevent* stream, std::string_view data) {
+  if (evbuffer_get_length(bufferevent_get_output(stream)) == 0) {
+    const ssize_t sent = ::write(bufferevent_getfd(stream), data.data(), data.size());
+    data.remove_prefix(static_cast<std::size_t>(std::max<ssize_t>(0, sent)));
+  }
+  if (!data.empty()) {
+    bufferevent_write(stream, data.data(), data.size());
+  }
+}
+
 void run_later(event_base* base, std::function<void()> work) {
   run_after(base, std::chrono::milliseconds{0}, std::move(work));
 }
--- a/net/loop.h
+++ b/net/loop.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 
 #include <chrono>
@@ -41,6 +42,12 @@
 
 timeval to_timeval(std::chrono::milliseconds time);
 
+// Writes to the socket at once if nothing waits before; what does not fit is buffered.
+// This costs one system call in place of four: through the buffer alone, the loop would
+// watch the socket for writing, wait, write, and stop watching. An error shows at the
+// buffered write or at the next read. Precondition: the stream is connected.
+void write_now(bufferevent* stream, std::string_view data);
+
 // Runs `work` once from the loop, after the current callback has returned.
 void run_later(event_base* base, std::function<void()> work);
 
--- a/net/mesh.cc
+++ b/net/mesh.cc
@@ -104,6 +104,29 @@
   return true;
 }
 
+// Bytes of the message as it goes out. Without a receiver's address anybody may read it.
+std::string seal(mesh& peers, wire::peer_message message) {
+  message.set_protocol(protocol_version);
+  message.set_from_address(peers.options.self.address.value);
+  message.set_from_incarnation(peers.options.self.incarnation);
+  message.set_sequence(++peers.sequence);
+  message.set_from_name(peers.options.name);
+  wire::sealed_message sealed;
+  message.SerializeToString(sealed.mutable_payload());
+  sealed.set_mac(make_mac(peers.options.fleet_key, sealed.payload()));
+  return sealed.SerializeAsString();
+}
+
+void send_bytes(mesh& peers, const router_address& to, const std::string& bytes) {
+  mesh_peer* peer = connect_peer(peers, to);
+  if (peer == nullptr || !try_send(peer->socket, bytes)) {
+    ++peers.counters.not_sent;
+    return;
+  }
+  ++peers.counters.sent;
+  peers.counters.sent_bytes += bytes.size();
+}
+
 void receive_one(mesh& peers, std::string_view bytes) {
   ++peers.counters.received;
   peers.counters.received_bytes += bytes.size();
@@ -151,30 +174,21 @@
 }
 
 void send_message(mesh& peers, const outgoing_message& message) {
-  mesh_peer* peer = connect_peer(peers, message.to);
-  if (peer == nullptr) {
-    ++peers.counters.not_sent;
-    return;
-  }
   wire::peer_message complete = message.message;
-  complete.set_protocol(protocol_version);
-  complete.set_from_address(peers.options.self.address.value);
-  complete.set_from_incarnation(peers.options.self.incarnation);
   complete.set_to_address(message.to.value);
   complete.set_to_incarnation(message.to_incarnation);
-  complete.set_sequence(++peers.sequence);
-  complete.set_from_name(peers.options.name);
+  send_bytes(peers, message.to, seal(peers, std::move(complete)));
+}
 
-  wire::sealed_message sealed;
-  complete.SerializeToString(sealed.mutable_payload());
-  sealed.set_mac(make_mac(peers.options.fleet_key, sealed.payload()));
-  const std::string bytes = sealed.SerializeAsString();
-  if (!try_send(peer->socket, bytes)) {
-    ++peers.counters.not_sent;
+void send_to_all(mesh& peers, const std::vector<router_address>& to,
+                 const wire::peer_message& message) {
+  if (to.empty()) {
     return;
   }
-  ++peers.counters.sent;
-  peers.counters.sent_bytes += bytes.size();
+  const std::string bytes = seal(peers, message);
+  for (const router_address& peer : to) {
+    send_bytes(peers, peer, bytes);
+  }
 }
 
 void receive_messages(mesh& peers) {
@@ -224,8 +238,9 @@
     return std::nullopt;
   }
   const bool for_me =
-      message.to_address() == options.self.address.value &&
-      (message.to_incarnation() == 0 || message.to_incarnation() == options.self.incarnation);
+      message.to_address().empty() ||
+      (message.to_address() == options.self.address.value &&
+       (message.to_incarnation() == 0 || message.to_incarnation() == options.self.incarnation));
   if (!for_me || message.from_address().empty()) {
     ++counters.misaddressed;
     return std::nullopt;
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -1,8 +1,9 @@
 // Peer messages over ZeroMQ.
 //
 // Each router binds one ROUTER socket and connects one DEALER socket to each
-// peer that it writes to. Messages are sealed with the fleet key; what fails the
-// check, is addressed to somebody else or to an earlier incarnation, comes from
+// peer that it writes to. Messages are sealed with the fleet key, those to many peers
+// once for all; what fails the check, is addressed to somebody else or to an earlier
+// incarnation, comes from
 // another protocol version, or is older than what was already seen of its
 // sender, is counted and dropped. Nothing is queued for a peer that is not
 // connected: the decision logic sends again what matters.
@@ -24,6 +25,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 #include <zmq.hpp>
 
 #include "core/base/types.h"
@@ -83,6 +85,10 @@
 
 void send_message(mesh& peers, const outgoing_message& message);
 
+// The same message to several peers; any of them may read it.
+void send_to_all(mesh& peers, const std::vector<router_address>& to,
+                 const wire::peer_message& message);
+
 // Reads what has arrived. Also called by the loop. Without effect from within the
 // handler: the outer call goes on reading.
 void receive_messages(mesh& peers);
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -137,12 +137,11 @@
 }
 
 // Refuses a call because this instance is behind. True if it was refused.
-bool refuse_if_busy(live_call& call, const pool& home) {
+bool refuse_if_busy(live_call& call) {
   router_state& router = *call.router;
   const instant now = current_time();
-  // The calls with the longest aims have the longest streams: they weigh as much.
-  const duration aim = std::min<duration>(call.way->target_latency, home.shortest_aim);
-  if (!refuses_new(router.overload, aim, live_count(router.members, now) > 0)) {
+  if (!refuses_new(router.overload, call.way->target_latency,
+                   live_count(router.members, now) > 0)) {
     return false;
   }
   end_with_refusal(call, refusal::instance_busy,
@@ -199,7 +198,7 @@
 std::optional<placement> place(live_call& call, const pool& home,
                                const std::vector<candidate>& candidates) {
   const bool is_new = call.sends == 0;  // what was begun is brought to its end
-  if (is_new && refuse_if_busy(call, home)) {
+  if (is_new && refuse_if_busy(call)) {
     return std::nullopt;
   }
   if (is_new && home.engine && call.request.what_to_read.has_value()) {
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -219,13 +219,29 @@
   }
 }
 
+void set_peers(wire::gossip& gossip, const std::vector<router_address>& peers) {
+  gossip.clear_peers();
+  for (const router_address& peer : peers) {
+    gossip.add_peers(peer.value);
+  }
+}
+
+// The round's message to a peer that is new, with everybody who is alive.
+void introduce(router_state& router, wire::peer_message& message, const router_address& peer,
+               instant now) {
+  set_peers(*message.mutable_gossip(),
+            peers_to_tell(router.members, introduced_peers, router.random, now));
+  send_to_all(*router.peers, {peer}, message);
+  note_introduced(router.members, peer, now);
+}
+
 }  // namespace
 
 void send_gossip(router_state& router) {
   const instant now = current_time();
   expire_peers(router.members, now);
-  outgoing_message message;
-  wire::gossip& gossip = *message.message.mutable_gossip();
+  wire::peer_message message;
+  wire::gossip& gossip = *message.mutable_gossip();
   gossip.set_domain(router.settings.domain.value);
   gossip.set_leaving(router.stopping);
   gossip.set_store_disturbed(router.store.disturbed);
@@ -239,14 +255,16 @@
   add_loads(router, gossip);
   add_organisations(router, gossip);
   add_crashes(router, gossip);
+  std::vector<router_address> known;
   for (const router_address& peer : round.peers) {
-    message.to = peer;
-    gossip.clear_peers();
-    for (const router_address& known : peers_to_tell(router.members, peer, router.random, now)) {
-      gossip.add_peers(known.value);
+    if (needs_introduction(router.members, peer)) {
+      introduce(router, message, peer, now);
+    } else {
+      known.push_back(peer);
     }
-    send_message(*router.peers, message);
   }
+  set_peers(gossip, peers_to_tell(router.members, reminded_peers, router.random, now));
+  send_to_all(*router.peers, known, message);
 }
 
 void on_peer_message(router_state& router, const router_identity& from,
