Overload: shed only while others have room; close unread when turns are very long

And a fleet that is busy as a whole would have shed everything.

Change: routers tell in their gossip that they shed; an instance sheds only while two thirds of the others have room. New connections are closed unread from turns of 120 ms on, which callers may answer by going elsewhere at once.

--- a/core/fleet/membership.cc
+++ b/core/fleet/membership.cc
@@ -76,6 +76,15 @@
                     }));
 }
 
+std::size_t peers_with_room(const membership_table& table, instant now) {
+  return static_cast<std::size_t>(
+      std::count_if(table.peers.begin(), table.peers.end(),
+                    [now](const std::pair<const router_address, peer_row>& entry) {
+                      const peer_row& row = entry.second;
+                      return is_alive(row, now) && !row.overloaded && !row.leaving;
+                    }));
+}
+
 std::vector<router_address> live_peers(const membership_table& table, instant now) {
   std::vector<router_address> result;
   for (const std::pair<const router_address, peer_row>& entry : table.peers) {
--- a/core/fleet/membership.h
+++ b/core/fleet/membership.h
@@ -36,6 +36,7 @@
   domain_name domain;
   bool leaving = false;
   bool store_disturbed = false;  // its calls to the store fail, it says
+  bool overloaded = false;       // it asks for no new connections, it says
   bool introduced = false;       // was told whom this router knows
   instant last_heard{};
   instant alive_until{};
@@ -70,6 +71,10 @@
 bool is_alive(const peer_row& row, instant now);
 
 std::size_t live_count(const membership_table& table, instant now);
+
+// Live peers that take new calls.
+std::size_t peers_with_room(const membership_table& table, instant now);
+
 std::vector<router_address> live_peers(const membership_table& table, instant now);
 
 // Peers that were heard from lately, alive or not: they may still be sending.
--- a/core/testing/overload_test.cc
+++ b/core/testing/overload_test.cc
@@ -15,10 +15,11 @@
 TEST_CASE("load pattern: one busy caller fills one instance while the others idle") {
   overload_state state;
   instant now = start;
+  bool others_have_room = true;
   const std::function<void(int, milliseconds)> turns = [&](int count, milliseconds turn) {
     for (int measured = 0; measured < count; ++measured) {
       now += milliseconds{100};
-      note_turn(state, turn, now);
+      note_turn(state, turn, others_have_room, now);
     }
   };
   const duration aim = milliseconds{600};
@@ -40,6 +41,25 @@
       CHECK_FALSE(state.shedding);
     }
   }
+  SUBCASE("nothing is shed while the others are as busy") {
+    turns(10, milliseconds{110});
+    CHECK(state.shedding);
+    others_have_room = false;
+    turns(1, milliseconds{110});
+    CHECK_FALSE(state.shedding);
+    turns(20, milliseconds{110});
+    CHECK_FALSE(state.shedding);
+  }
+  SUBCASE("turns so long that even a refusal comes late: new connections are closed") {
+    turns(8, milliseconds{110});
+    CHECK_FALSE(state.closing);
+    turns(12, milliseconds{200});
+    CHECK(state.closing);
+    turns(2, milliseconds{3});
+    CHECK(state.closing);
+    turns(8, milliseconds{3});
+    CHECK_FALSE(state.closing);
+  }
   SUBCASE("one long turn is not overload") {
     turns(1, milliseconds{120});
     CHECK_FALSE(refuses_new(state, aim, true));
@@ -57,3 +77,11 @@
     CHECK_FALSE(refuses_new(state, milliseconds{100}, true));
   }
 }
+
+TEST_CASE("others have room if most of them take new calls") {
+  CHECK_FALSE(have_room(0, 0));
+  CHECK_FALSE(have_room(0, 8));
+  CHECK_FALSE(have_room(5, 8));
+  CHECK(have_room(6, 8));
+  CHECK(have_room(1, 1));
+}
--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -238,6 +238,11 @@
 
 void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr* address, int, void* argument) {
   http_listener& listener = *static_cast<http_listener*>(argument);
+  if (listener.turning_away) {
+    ++listener.turned_away;
+    evutil_closesocket(socket);
+    return;
+  }
   if (listener.open.size() >= listener.options.max_connections) {
     log_line(
         log_part::http, log_level::warn,
@@ -339,6 +344,11 @@
   listener.closing_connections = closing;
 }
 
+std::uint64_t turn_away(http_listener& listener, bool away) {
+  listener.turning_away = away;
+  return away ? std::exchange(listener.turned_away, 0) : listener.turned_away;
+}
+
 void close_idle(http_listener& listener, milliseconds least_idle) {
   const instant now = current_time();
   const std::set<http_connection*> all = listener.open;
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -97,7 +97,9 @@
   std::size_t body_total = 0;
   std::uint64_t next_id = 1;
   bool closing_connections = false;  // answers say that the connection ends
-  std::uint64_t rejected = 0;        // requests refused before they reached the handler
+  bool turning_away = false;         // new connections are closed
+  std::uint64_t turned_away = 0;
+  std::uint64_t rejected = 0;  // requests refused before they reached the handler
 
   http_listener() = default;
   http_listener(const http_listener&) = delete;
@@ -117,6 +119,10 @@
 // While set, each answer ends its connection.
 void announce_close(http_listener& listener, bool closing);
 
+// While set, new connections are closed before anything is read: their callers may go
+// elsewhere at once. Returns how many were closed since it was last set.
+std::uint64_t turn_away(http_listener& listener, bool away);
+
 // Closes the connections on which no request has begun to arrive for `least_idle`: on a
 // younger one a request may be on its way.
 void close_idle(http_listener& listener, milliseconds least_idle);
--- a/router/call_internal.h
+++ b/router/call_internal.h
@@ -44,6 +44,9 @@
 void refuse_at_once(router_state& router, http_exchange& exchange, const call_request& request,
                     refusal why, duration pause);
 
+// True if enough live peers take new calls.
+bool others_have_room(const router_state& router, instant now);
+
 // Whole milliseconds, for logs.
 std::string ms_text(duration time);
 
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -140,8 +140,7 @@
 bool refuse_if_busy(live_call& call) {
   router_state& router = *call.router;
   const instant now = current_time();
-  if (!refuses_new(router.overload, call.way->target_latency,
-                   live_count(router.members, now) > 0)) {
+  if (!refuses_new(router.overload, call.way->target_latency, others_have_room(router, now))) {
     return false;
   }
   end_with_refusal(call, refusal::instance_busy,
@@ -227,6 +226,10 @@
 
 }  // namespace
 
+bool others_have_room(const router_state& router, instant now) {
+  return have_room(peers_with_room(router.members, now), live_count(router.members, now));
+}
+
 pool_state& pool_of(router_state& router, const pool_name& name) {
   return router.pools[name];
 }
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -164,6 +164,10 @@
                       static_cast<int>(report.crashes()), now);
   }
   take_store_news(router, from.address, gossip.store_disturbed(), now);
+  auto row = router.members.peers.find(from.address);
+  if (row != router.members.peers.end()) {
+    row->second.overloaded = gossip.overloaded();
+  }
   ask_if_behind(router, from.address, gossip, now);
 }
 
@@ -245,6 +249,7 @@
   gossip.set_domain(router.settings.domain.value);
   gossip.set_leaving(router.stopping);
   gossip.set_store_disturbed(router.store.disturbed);
+  gossip.set_overloaded(router.overload.shedding);
   gossip.set_operator_revision(router.store.newest_operator_revision);
   gossip.set_target_revision(router.store.newest_target_revision);
   const gossip_round round = next_round(router.members, now);
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -107,17 +107,20 @@
 
 // Takes over how long a turn of the loop took, and tells the balancer and callers.
 void update_overload(router_state& router, duration turn, instant now) {
-  const bool before = router.overload.shedding;
-  note_turn(router.overload, turn, now);
-  if (router.overload.shedding == before) {
+  const overload_state before = router.overload;
+  note_turn(router.overload, turn, others_have_room(router, now), now);
+  const overload_state& after = router.overload;
+  if (after.shedding == before.shedding && after.closing == before.closing) {
     return;
   }
-  announce_close(*router.callers, router.overload.shedding || router.stopping);
+  announce_close(*router.callers, after.shedding || router.stopping);
+  const std::uint64_t turned_away = turn_away(*router.callers, after.closing);
   log_line(log_part::process, log_level::warn,
-           std::string(before ? "Instance is no longer overloaded." : "Instance is overloaded.") +
-               " turn_ms=" + ms_text(router.overload.turn) +
+           std::string("Instance overload changed. shedding=") + (after.shedding ? "1" : "0") +
+               " closing=" + (after.closing ? "1" : "0") + " turn_ms=" + ms_text(after.turn) +
                " calls=" + std::to_string(router.calls.size()) +
-               " connections=" + std::to_string(router.callers->open.size()));
+               " connections=" + std::to_string(router.callers->open.size()) +
+               " turned_away=" + std::to_string(turned_away));
 }
 
 void on_tick(router_state& router) {
