--- a/core/routing/admission.cc
+++ b/core/routing/admission.cc
@@ -9,7 +9,11 @@
   return std::chrono::duration_cast<duration>(time * factor);
 }
 
-double slack_part(double position) {
+double slack_part(const admission_input& input) {
+  const double position = input.share_position;
+  if (input.spilled) {
+    return position < 1 ? spilled_slack_part : idle_slack_part;
+  }
   return position < 1 ? slack_part_below : std::max(least_slack_part, slack_part_at / position);
 }
 
@@ -22,9 +26,8 @@
 
 admission admit(const admission_input& input) {
   const duration slack = std::max(duration{0}, input.aim - input.own);
-  const double part = input.spilled ? spilled_slack_part : slack_part(input.share_position);
   const duration usable = scaled(input.left, usable_part) - input.own;
-  const duration limit = std::min(scaled(slack, part) - input.waited, usable);
+  const duration limit = std::min(scaled(slack, slack_part(input)) - input.waited, usable);
   const bool idle = input.queued <= duration{0};
   if (input.queued <= limit || (idle && usable >= duration{0})) {
     return {};
--- a/core/routing/admission.h
+++ b/core/routing/admission.h
@@ -26,6 +26,7 @@
 inline constexpr double slack_part_below = 0.85;  // below its share, or while all can be served
 inline constexpr double slack_part_at = 0.3;      // has just had its share; then less in proportion
 inline constexpr double least_slack_part = 0.05;
+inline constexpr double idle_slack_part = 0.01;     // as good as idle: serves anybody
 inline constexpr double spilled_slack_part = 0.05;  // an engine with that little to do has time
 inline constexpr double usable_part = 0.85;         // of the caller's time, for the first token
 inline constexpr milliseconds least_retry_after{120};
--- a/core/routing/placement.cc
+++ b/core/routing/placement.cc
@@ -326,14 +326,6 @@
       load.service_ms <= 0 ? sample : load.service_ms + service_memory * (sample - load.service_ms);
 }
 
-void note_report(load_table& table, const target_name& target, int running, int waiting,
-                 instant now) {
-  target_load& load = table.targets[target];
-  load.reported_running = running;
-  load.reported_waiting = waiting;
-  load.reported_at = now;
-}
-
 void begin_telling(load_table& table) {
   for (std::pair<const target_name, target_load>& entry : table.targets) {
     entry.second.telling = std::exchange(entry.second.collecting, {});
--- a/core/routing/placement.h
+++ b/core/routing/placement.h
@@ -10,7 +10,7 @@
 //   note_first_token(table, target, cost, now);   // the prompt has been read
 //   note_ended(table, target, cost);
 //   placement choice = choose_engine(table, candidates, call);
-//   expire_peer_loads(table, now);                // each tick
+//   expire_peer_loads(table, now);  // each tick
 //
 // Waiting for a while costs little as long as the first token is on time, while
 // reading a shared part again takes the engine from everybody: up to a comfortable
@@ -79,12 +79,9 @@
   read_news collecting;                                      // of this cycle of gossip
   read_news telling;                                         // of the cycle before
   double read_rate = 0;                                      // tokens a ms; 0: none measured
-  double base_ms = 0;         // mean time to the first token of short waits; 0: none measured
-  double token_ms = 0;        // mean time between two tokens of a stream; 0: none measured
-  double service_ms = 0;      // mean time of a call at a plain target
-  int reported_running = -1;  // by the target itself with its newest answer; -1: none
-  int reported_waiting = 0;
-  instant reported_at{};
+  double base_ms = 0;     // mean time to the first token of short waits; 0: none measured
+  double token_ms = 0;    // mean time between two tokens of a stream; 0: none measured
+  double service_ms = 0;  // mean time of a call at a plain target
 };
 
 struct load_table {
@@ -147,10 +144,6 @@
 // Time of one whole call at a plain target.
 void note_service_time(load_table& table, const target_name& target, duration time);
 
-// What a target said of itself with an answer.
-void note_report(load_table& table, const target_name& target, int running, int waiting,
-                 instant now);
-
 // A cycle of gossip begins: what was collected is told to each peer once.
 void begin_telling(load_table& table);
 
--- a/core/testing/shares_and_members_test.cc
+++ b/core/testing/shares_and_members_test.cc
@@ -134,6 +134,21 @@
     CHECK(admitted[0] < admitted[1]);
     CHECK(admitted[1] < admitted[2]);
   }
+  SUBCASE("below its share, it may go where next to nothing waits, whatever that costs") {
+    input.spilled = true;
+    input.queued = milliseconds{15};
+    CHECK(admit(input).admitted);
+    input.queued = milliseconds{100};
+    CHECK_FALSE(admit(input).admitted);
+    input.queued = milliseconds{15};
+    SUBCASE("above it, only where as good as nothing waits") {
+      input.waited = duration{0};
+      input.share_position = 1.2;
+      CHECK_FALSE(admit(input).admitted);
+      input.queued = milliseconds{4};
+      CHECK(admit(input).admitted);
+    }
+  }
   SUBCASE("nobody is kept waiting for what comes after its deadline") {
     input.aim = milliseconds{10'000};
     input.left = milliseconds{1'000};
--- a/router/call_answer.cc
+++ b/router/call_answer.cc
@@ -137,9 +137,6 @@
   current.head = head;
   current.head_seen = true;
   const platform::decoded_answer answer = platform::decode_answer(head);
-  if (answer.running >= 0) {
-    note_report(router.loads, current.target, answer.running, answer.waiting, current_time());
-  }
   if (answer.not_run) {
     on_not_run(call, answer.other_target);
     return;
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -185,7 +185,7 @@
     return where;
   }
   const placement soonest = choose(call, home, candidates, true);
-  if (call.position < 1 && verdict_of(call, soonest, true).admitted) {
+  if (verdict_of(call, soonest, true).admitted) {
     call.predicted_ms = soonest.first_token_ms;
     return soonest;
   }
