--- a/experiment/fleet_model.cc
+++ b/experiment/fleet_model.cc
@@ -134,6 +134,7 @@
 std::size_t draw_organisation(model& world, double at_s) {
   // A few are large: weights fall as 1, 1/2, 1/3, ...
   std::vector<double> weights;
+  weights.reserve(static_cast<std::size_t>(world.what->organisations));
   for (int one = 0; one < world.what->organisations; ++one) {
     weights.push_back(surge_factor(*world.what, surge::what::organisation, one, at_s) / (one + 1));
   }
--- a/router/call_internal.h
+++ b/router/call_internal.h
@@ -6,7 +6,7 @@
 //   call_crashes.cc    targets that crash while they run it
 //   call_end.cc        its end: answer, log line, counts
 //
-// Internal to net/.
+// Internal to router/.
 #pragma once
 
 #include <string>
