Cold targets: a router that has just started sends none until its view has settled

Change: routers that one was told of count as well as those heard; none sends to a cold target in the first two seconds after its start.

--- a/core/fleet/membership.cc
+++ b/core/fleet/membership.cc
@@ -98,7 +98,9 @@
 std::vector<router_address> possible_peers(const membership_table& table, instant now) {
   std::vector<router_address> result;
   for (const std::pair<const router_address, peer_row>& entry : table.peers) {
-    if (was_heard(entry.second) && now - entry.second.last_heard <= remembered_for) {
+    const instant heard_of =
+        was_heard(entry.second) ? entry.second.last_heard : entry.second.first_known;
+    if (now - heard_of <= remembered_for) {
       result.push_back(entry.first);
     }
   }
--- a/core/fleet/membership.h
+++ b/core/fleet/membership.h
@@ -77,7 +77,7 @@
 
 std::vector<router_address> live_peers(const membership_table& table, instant now);
 
-// Peers that were heard from lately, alive or not: they may still be sending.
+// Peers that were heard of lately, alive or not: they may be sending.
 std::vector<router_address> possible_peers(const membership_table& table, instant now);
 
 // Whom to send this round's gossip: live peers whose turn it is, and silent ones.
--- a/core/routing/cold_gate.cc
+++ b/core/routing/cold_gate.cc
@@ -28,12 +28,14 @@
 }
 
 bool may_send_cold(const cold_gate& gate, const target_name& target, double fleet_limit,
-                   const router_address& self, const std::vector<router_address>& others,
-                   instant now) {
-  const int routers = static_cast<int>(others.size()) + 1;
+                   const cold_view& view, instant now) {
+  if (view.running < view_settles) {
+    return false;
+  }
+  const int routers = static_cast<int>(view.others.size()) + 1;
   int each = sends_per_second(fleet_limit, routers);
   if (each == 0) {
-    if (rank_for(target, self, others) >= static_cast<int>(fleet_limit * cold_safety)) {
+    if (rank_for(target, view.self, view.others) >= static_cast<int>(fleet_limit * cold_safety)) {
       return false;
     }
     each = 1;
--- a/core/routing/cold_gate.h
+++ b/core/routing/cold_gate.h
@@ -3,9 +3,11 @@
 // Each router spaces its own sends to a cold target so that, if every router that
 // may exist did the same, any window of one second would hold no more than the
 // target bears. Where there are more routers than sends, only those ranked first
-// for the target by rendezvous send at all.
+// for the target by rendezvous send at all. A router that has just started knows too
+// few of the others to rank itself: it sends none until its view has settled.
 //
-//   if (may_send_cold(gate, target, limit, routers, now)) { note_cold_send(...); send }
+//   const cold_view view{self, others, now - started};
+//   if (may_send_cold(gate, target, limit, view, now)) { note_cold_send(...); send }
 //
 // Invariant: sends of one router in any second <= sends_per_second(limit, routers).
 // Thread safety: none; one loop.
@@ -23,6 +25,17 @@
 inline constexpr int least_routers_assumed = 12;
 inline constexpr double cold_safety = 0.8;  // part of the bound that is planned for
 
+// From a router's start until it has been told of all others: a cycle of gossip of a
+// hundred routers, and the way to the seeds before.
+inline constexpr milliseconds view_settles{2'000};
+
+// What a router knows of those that may send as well.
+struct cold_view {
+  router_address self;
+  std::vector<router_address> others;
+  duration running{};  // since the router started
+};
+
 struct cold_gate {
   std::map<target_name, instant> last_send;
 };
@@ -36,8 +49,7 @@
 
 // `fleet_limit`: sends a second that the target bears from all routers.
 bool may_send_cold(const cold_gate& gate, const target_name& target, double fleet_limit,
-                   const router_address& self, const std::vector<router_address>& others,
-                   instant now);
+                   const cold_view& view, instant now);
 void note_cold_send(cold_gate& gate, const target_name& target, instant now);
 
 }  // namespace peridot
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -49,8 +49,9 @@
     return true;
   }
   const double limit = home.cold_rate * router.settings.cold_over + router.settings.cold_slack;
-  return may_send_cold(router.cold, target.entry.name, limit, router.self.address,
-                       possible_peers(router.members, now), now);
+  const cold_view view{router.self.address, possible_peers(router.members, now),
+                       now - router.started};
+  return may_send_cold(router.cold, target.entry.name, limit, view, now);
 }
 
 struct candidates {
