Decide the end of a connection in one place, where it can be announced

Found in the last reading: whether a connection ends was decided when a request was taken in, when its answer began, and again when the answer ended. The last could close a connection whose answer had begun before the router was told to stop and had not said that it ends. The next request of its caller was then read and dropped.

Change: only the beginning of an answer decides.

--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -147,7 +147,7 @@
   exchange->peer = connection.peer;
   exchange->connection = &connection;
   connection.exchange = exchange;
-  connection.close_next = !exchange->head.keep_alive || listener.closing_connections;
+  connection.close_next = !exchange->head.keep_alive;
   event_del(connection.timer.get());
   bufferevent_setwatermark(connection.stream, EV_READ, 0, waiting_bytes);
   listener.handler(exchange);
@@ -292,7 +292,6 @@
   connection.exchange.reset();
   ++connection.answered;
   release_body(connection);
-  connection.close_next = connection.close_next || connection.listener->closing_connections;
   if (connection.close_next) {
     arm(connection, connection.listener->options.stall_timeout);
     if (evbuffer_get_length(bufferevent_get_output(connection.stream)) == 0) {
@@ -394,6 +393,8 @@
   PERIDOT_CHECK(!exchange.begun, "an answer begins twice");
   exchange.begun = true;
   http_connection& connection = *exchange.connection;
+  // Only here, where it can be announced: a caller may send on a connection whose answer
+  // did not say that it ends.
   connection.close_next = connection.close_next || connection.listener->closing_connections;
   std::string framing;
   const bool bodiless = status == 204 || status == 304;
--- a/net/testing/http_edges_test.cc
+++ b/net/testing/http_edges_test.cc
@@ -150,6 +150,22 @@
     CHECK(caller.received.find("Connection: close") != std::string::npos);
     CHECK(caller.received.find("last") != std::string::npos);
   }
+  SUBCASE("a connection whose answer did not announce its end is not closed after it") {
+    // planned_stop.sh: an answer that began before the stop ended after it; the caller
+    // sent its next request on the connection, which was closed without an answer.
+    testing::say(caller, get_a);
+    REQUIRE(wait_for_exchanges(bench, 1));
+    reply_begin(*bench.exchanges[0], 200, {}, std::nullopt);
+    reply_data(*bench.exchanges[0], "begun");
+    announce_close(*bench.listener, true);
+    reply_end(*bench.exchanges[0]);
+    testing::say(caller, get_a);
+    REQUIRE(wait_for_exchanges(bench, 2));
+    reply(*bench.exchanges[1], 200, {}, "last");
+    CHECK(wait_for_text(bench, caller, "last"));
+    CHECK(caller.received.find("Connection: close") != std::string::npos);
+    CHECK(testing::run_until(bench.base.get(), [&caller]() { return caller.closed; }));
+  }
 }
 
 TEST_CASE("callers: who has connected before the socket is closed gets an answer") {
