--- a/experiment/engine_model.cc
+++ b/experiment/engine_model.cc
@@ -42,7 +42,7 @@
 }
 
 // Takes the request's parts into memory. False if there is no room for them now.
-bool start_run(engine_model& engine, engine_run& run, double now_ms, std::vector<read_part>& read) {
+bool start_run(engine_model& engine, engine_run& run, instant now, std::vector<read_part>& read) {
   const double kept = kept_tokens_of(engine, run.what);
   for (const prompt_prefix& prefix : run.what.prefixes) {
     if (prefix.tokens <= kept) {
@@ -66,7 +66,7 @@
       ++part.users;
       read.push_back({prefix.hash, part.tokens, index + 1 < run.what.prefixes.size()});
     }
-    part.used_at = now_ms;
+    part.used_at = now;
   }
   if (fits) {
     run.unread = run.what.tokens_in - kept;
@@ -78,19 +78,19 @@
   return fits;
 }
 
-void release(engine_model& engine, const engine_run& run, double now_ms) {
+void release(engine_model& engine, const engine_run& run, instant now) {
   for (const prompt_prefix& prefix : run.what.prefixes) {
     kept_part& part = engine.parts[prefix.hash];
     --part.users;
-    part.used_at = now_ms;
+    part.used_at = now;
     PERIDOT_CHECK(part.users >= 0, "a part is released twice");
   }
   engine.used -= run.own_memory;
 }
 
 // The newest request starts anew, as there is no memory for what is written.
-void preempt_newest(engine_model& engine, double now_ms) {
-  release(engine, engine.running.back(), now_ms);
+void preempt_newest(engine_model& engine, instant now) {
+  release(engine, engine.running.back(), now);
   engine.waiting.push_front(engine.running.back());
   engine.running.pop_back();
   ++engine.preempted;
@@ -112,11 +112,11 @@
   engine.waiting.push_back(std::move(run));
 }
 
-step_result take_step(engine_model& engine, double now_ms) {
+step_result take_step(engine_model& engine, instant now) {
   step_result result;
   while (!engine.waiting.empty() &&
          engine.running.size() < static_cast<std::size_t>(engine.options.slots) &&
-         start_run(engine, engine.waiting.front(), now_ms, result.read)) {
+         start_run(engine, engine.waiting.front(), now, result.read)) {
     engine.running.push_back(std::move(engine.waiting.front()));
     engine.waiting.pop_front();
   }
@@ -131,7 +131,7 @@
       continue;
     }
     while (!make_room(engine, 1) && engine.running.size() > index + 1) {
-      preempt_newest(engine, now_ms);
+      preempt_newest(engine, now);
     }
     ++writers;
     ++run.written;
@@ -144,20 +144,20 @@
       result.ended.push_back(run.id);
     }
   }
-  result.duration_ms = engine.options.step_ms + engine.options.step_ms_per_writer * writers +
-                       read / engine.options.read_tokens_per_ms;
+  result.time = from_ms(engine.options.step_ms + engine.options.step_ms_per_writer * writers +
+                        read / engine.options.read_tokens_per_ms);
   for (std::uint64_t id : result.ended) {
-    cancel(engine, id, now_ms);
+    cancel(engine, id, now);
   }
   return result;
 }
 
-void cancel(engine_model& engine, std::uint64_t id, double now_ms) {
+void cancel(engine_model& engine, std::uint64_t id, instant now) {
   std::erase_if(engine.waiting, [id](const engine_run& run) { return run.id == id; });
   auto found = std::find_if(engine.running.begin(), engine.running.end(),
                             [id](const engine_run& run) { return run.id == id; });
   if (found != engine.running.end()) {
-    release(engine, *found, now_ms);
+    release(engine, *found, now);
     engine.running.erase(found);
   }
 }
--- a/experiment/engine_model.h
+++ b/experiment/engine_model.h
@@ -7,8 +7,8 @@
 //
 //   engine_model engine;
 //   engine.options = {...};
-//   submit(engine, run, now_ms);
-//   step_result done = take_step(engine, now_ms);   // again at now_ms + done.duration_ms
+//   submit(engine, run);
+//   step_result done = take_step(engine, now);   // again at now + done.time
 //
 // Invariants: at most `slots` requests run; memory in use stays within memory_tokens.
 // Cost: a step is linear in the requests that run.
@@ -19,6 +19,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/base/types.h"
 #include "core/calls/call.h"
 
 namespace peridot::experiment {
@@ -44,7 +45,7 @@
 // A part of a prompt in memory.
 struct kept_part {
   double tokens = 0;  // beyond the part before it
-  double used_at = 0;
+  instant used_at{};
   int users = 0;  // requests that run
 };
 
@@ -66,7 +67,7 @@
 };
 
 struct step_result {
-  double duration_ms = 0;                  // 0: there was nothing to do
+  duration time{};                         // 0: there was nothing to do
   std::vector<read_part> read;             // parts that were not kept
   std::vector<std::uint64_t> first_token;  // requests that wrote their first token
   std::vector<std::uint64_t> ended;
@@ -75,9 +76,9 @@
 void submit(engine_model& engine, engine_run run);
 
 // Starts what fits, reads, writes. What it tells happens at the end of the step.
-step_result take_step(engine_model& engine, double now_ms);
+step_result take_step(engine_model& engine, instant now);
 
 // The caller has left.
-void cancel(engine_model& engine, std::uint64_t id, double now_ms);
+void cancel(engine_model& engine, std::uint64_t id, instant now);
 
 }  // namespace peridot::experiment
--- a/experiment/fleet_model.cc
+++ b/experiment/fleet_model.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -15,22 +16,24 @@
 namespace peridot::experiment {
 namespace {
 
-constexpr double gossip_ms = 200;  // as the routers' setting
+constexpr milliseconds gossip_interval{200};  // as the routers' setting
 constexpr milliseconds news_life{1'500};
 constexpr int most_sends = 2;       // a caller comes back once
 constexpr double size_floor = 0.3;  // of a call's worth, whatever its size
 
+const instant start = instant{} + std::chrono::hours{1};
+
 enum class event_kind { arrival, step, gossip, give_up };
 
 struct timed_event {
-  double at_ms = 0;
+  instant at{};
   std::uint64_t order = 0;  // makes equal times deterministic
   event_kind kind = event_kind::arrival;
   std::size_t index = 0;  // of the call, engine or router
 };
 
 bool operator>(const timed_event& left, const timed_event& right) {
-  return left.at_ms != right.at_ms ? left.at_ms > right.at_ms : left.order > right.order;
+  return left.at != right.at ? left.at > right.at : left.order > right.order;
 }
 
 struct model_call {
@@ -39,8 +42,8 @@
   prompt what;
   double tokens_out = 0;
   double worth = 0;
-  double arrived_ms = 0;
-  double first_ms = -1;  // the first token, from the first attempt
+  instant arrived{};
+  std::optional<duration> first;  // the first token, from the first attempt
   int sends = 0;
   int refusals = 0;
   bool ended = false;
@@ -69,16 +72,11 @@
   std::uint64_t order = 0;
   std::set<std::uint64_t> parts_read;  // by any engine
   double shared_again = 0;
-  double now_ms = 0;
+  instant now = start;
 };
 
-instant at(double time_ms) {
-  return instant{} + std::chrono::hours{1} +
-         std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(time_ms));
-}
-
-void add_event(model& world, double at_ms, event_kind kind, std::size_t index) {
-  world.events.push({at_ms, world.order++, kind, index});
+void add_event(model& world, instant at, event_kind kind, std::size_t index) {
+  world.events.push({at, world.order++, kind, index});
 }
 
 double draw_tokens(std::mt19937_64& random, const chain_level& level) {
@@ -99,10 +97,11 @@
   return std::min(static_cast<std::uint64_t>(rank), static_cast<std::uint64_t>(level.things - 1));
 }
 
-double surge_factor(const scenario& what, surge::what of, int index, double at_s) {
+double surge_factor(const scenario& what, surge::what of, int index, instant at) {
   double factor = 1;
   for (const surge& one : what.surges) {
-    if (one.of == of && one.index == index && at_s >= one.from_s && at_s < one.from_s + one.for_s) {
+    if (one.of == of && one.index == index && at >= start + one.from &&
+        at < start + one.from + one.lasts) {
       factor *= one.times;
     }
   }
@@ -110,13 +109,13 @@
 }
 
 prompt make_prompt(model& world, const call_kind_model& kind, std::size_t kind_index,
-                   std::uint64_t call, double at_s) {
+                   std::uint64_t call, instant at) {
   prompt what;
   what.model = "m";
   std::uint64_t hash = kind_index + 1;
   double tokens = 0;
   const double hot =
-      surge_factor(*world.what, surge::what::subject, static_cast<int>(kind_index), at_s);
+      surge_factor(*world.what, surge::what::subject, static_cast<int>(kind_index), at);
   const bool is_hot = hot < 1 && std::uniform_real_distribution<double>(0, 1)(world.random) < hot;
   for (const chain_level& level : kind.shared) {
     const std::uint64_t thing = is_hot ? 0 : draw_thing(world.random, level);
@@ -130,35 +129,35 @@
   return what;
 }
 
-std::size_t draw_organisation(model& world, double at_s) {
+std::size_t draw_organisation(model& world, instant at) {
   // A few are large: weights fall as 1, 1/2, 1/3, ...
   std::vector<double> weights;
   weights.reserve(static_cast<std::size_t>(world.what->organisations));
   for (int one = 0; one < world.what->organisations; ++one) {
-    weights.push_back(surge_factor(*world.what, surge::what::organisation, one, at_s) / (one + 1));
+    weights.push_back(surge_factor(*world.what, surge::what::organisation, one, at) / (one + 1));
   }
   return std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(world.random);
 }
 
 void add_calls_of_kind(model& world, std::size_t index) {
   const call_kind_model& kind = world.what->kinds[index];
-  double time_s = 0;
+  instant at = start;
   while (true) {
-    const double rate = kind.per_second * surge_factor(*world.what, surge::what::kind,
-                                                       static_cast<int>(index), time_s);
-    time_s += std::exponential_distribution<double>(rate)(world.random);
-    if (time_s >= world.what->seconds) {
+    const double rate =
+        kind.per_second * surge_factor(*world.what, surge::what::kind, static_cast<int>(index), at);
+    at += from_ms(1'000 * std::exponential_distribution<double>(rate)(world.random));
+    if (at >= start + world.what->lasts) {
       return;
     }
     model_call call;
     call.kind = index;
-    call.organisation = draw_organisation(world, time_s);
-    call.what = make_prompt(world, kind, index, world.calls.size(), time_s);
+    call.organisation = draw_organisation(world, at);
+    call.what = make_prompt(world, kind, index, world.calls.size(), at);
     call.tokens_out =
         std::max(1.0, std::round(draw_tokens(world.random, {kind.tokens_out, 0.5, 0})));
     call.what.tokens_out = call.tokens_out * 2;
     call.what.expected_out = call.tokens_out;
-    call.arrived_ms = time_s * 1'000;
+    call.arrived = at;
     call.worth = kind.worth;
     world.calls.push_back(std::move(call));
   }
@@ -189,7 +188,7 @@
 void wake(model& world, std::size_t engine) {
   if (!world.stepping[engine]) {
     world.stepping[engine] = true;
-    add_event(world, world.now_ms, event_kind::step, engine);
+    add_event(world, world.now, event_kind::step, engine);
   }
 }
 
@@ -213,16 +212,15 @@
     }
     return where;
   }
-  const double left = call.arrived_ms + kind.deadline_ms - world.now_ms;
-  double shortest_aim = kind.aim_ms;
+  milliseconds shortest_aim = kind.aim;
   for (const call_kind_model& other : world.what->kinds) {
-    shortest_aim = std::min(shortest_aim, other.aim_ms);
+    shortest_aim = std::min(shortest_aim, other.aim);
   }
   return choose_engine(router.loads, world.candidates,
                        {.what = &call.what,
                         .memory_tokens = world.what->engine.memory_tokens,
-                        .aim = from_ms(shortest_aim),
-                        .left = from_ms(left),
+                        .aim = shortest_aim,
+                        .left = call.arrived + kind.deadline - world.now,
                         .soonest = soonest});
 }
 
@@ -232,8 +230,8 @@
   return admit({.queued = from_ms(where.queue_ms),
                 .own = from_ms(where.first_token_ms - where.queue_ms),
                 .waited = duration{0},
-                .aim = from_ms(kind.aim_ms),
-                .left = from_ms(call.arrived_ms + kind.deadline_ms - world.now_ms),
+                .aim = kind.aim,
+                .left = call.arrived + kind.deadline - world.now,
                 .share_position =
                     share_position(world.routers[call.router].shares, name_of(call.organisation)),
                 .jitter = jitter,
@@ -251,7 +249,7 @@
   const admission verdict = verdict_of(world, call, where, false, jitter);
   ++call.refusals;
   if (call.sends < most_sends) {
-    add_event(world, world.now_ms + to_ms(verdict.retry_after), event_kind::arrival, index);
+    add_event(world, world.now + verdict.retry_after, event_kind::arrival, index);
   } else {
     call.gone = true;
   }
@@ -261,12 +259,12 @@
   model_call& call = world.calls[index];
   const call_kind_model& kind = world.what->kinds[call.kind];
   if (call.sends == 0) {
-    add_event(world, call.arrived_ms + kind.deadline_ms, event_kind::give_up, index);
+    add_event(world, call.arrived + kind.deadline, event_kind::give_up, index);
   }
   ++call.sends;
   call.router = world.random() % world.routers.size();
   model_router& router = world.routers[call.router];
-  note_asked(router.shares, name_of(call.organisation), share_tokens(call.what), at(world.now_ms));
+  note_asked(router.shares, name_of(call.organisation), share_tokens(call.what), world.now);
   placement where = choose(world, call, false);
   if (!is_admitted(world, call, where, false)) {
     const placement first = where;
@@ -278,7 +276,7 @@
   }
   call.engine = static_cast<std::size_t>(where.chosen - world.candidates.data());
   call.cost = note_sent(router.loads, where.chosen->name, &call.what,
-                        world.what->engine.memory_tokens, at(world.now_ms));
+                        world.what->engine.memory_tokens, world.now);
   call.at_engine = true;
   engine_run run;
   run.id = index;
@@ -293,35 +291,35 @@
   note_ended(world.routers[call.router].loads, world.candidates[call.engine].name, call.cost);
 }
 
-void on_first_token(model& world, std::size_t index, double when_ms) {
+void on_first_token(model& world, std::size_t index, instant when) {
   model_call& call = world.calls[index];
-  if (call.first_ms >= 0) {
+  if (call.first.has_value()) {
     return;  // it was preempted and starts anew
   }
-  call.first_ms = when_ms - call.arrived_ms;
+  call.first = when - call.arrived;
   model_router& router = world.routers[call.router];
-  note_first_token(router.loads, world.candidates[call.engine].name, call.cost, at(when_ms));
-  note_served(router.shares, name_of(call.organisation), share_tokens(call.what), at(when_ms));
+  note_first_token(router.loads, world.candidates[call.engine].name, call.cost, when);
+  note_served(router.shares, name_of(call.organisation), share_tokens(call.what), when);
 }
 
 void on_step(model& world, std::size_t engine) {
-  const step_result done = take_step(world.engines[engine], world.now_ms);
+  const step_result done = take_step(world.engines[engine], world.now);
   for (const read_part& part : done.read) {
     if (part.shared && !world.parts_read.insert(part.hash).second) {
       world.shared_again += part.tokens;
     }
   }
-  const double end_ms = world.now_ms + done.duration_ms;
+  const instant end = world.now + done.time;
   for (std::uint64_t index : done.first_token) {
-    on_first_token(world, index, end_ms);
+    on_first_token(world, index, end);
   }
   for (std::uint64_t index : done.ended) {
     world.calls[index].ended = true;
     leave_engine(world, world.calls[index]);
   }
-  world.stepping[engine] = done.duration_ms > 0;
-  if (done.duration_ms > 0) {
-    add_event(world, end_ms, event_kind::step, engine);
+  world.stepping[engine] = done.time > duration{0};
+  if (done.time > duration{0}) {
+    add_event(world, end, event_kind::step, engine);
   }
 }
 
@@ -332,7 +330,7 @@
   }
   call.gone = true;
   if (call.at_engine) {
-    cancel(world.engines[call.engine], index, world.now_ms);
+    cancel(world.engines[call.engine], index, world.now);
     leave_engine(world, call);
   }
 }
@@ -341,7 +339,7 @@
 void on_gossip(model& world, std::size_t index) {
   model_router& from = world.routers[index];
   const router_address name{std::to_string(index)};
-  const instant until = at(world.now_ms) + news_life;
+  const instant until = world.now + news_life;
   begin_telling(from.loads);
   std::map<std::uint64_t, peer_tokens> tokens;
   for (const std::pair<const organisation_name, token_window>& entry : from.shares.own) {
@@ -359,21 +357,21 @@
     }
     set_peer_tokens(to.shares, name, tokens, until);
   }
-  expire_peer_loads(from.loads, at(world.now_ms));
-  update_level(from.shares, world.what->tokens_per_s, at(world.now_ms));
-  add_event(world, world.now_ms + gossip_ms, event_kind::gossip, index);
+  expire_peer_loads(from.loads, world.now);
+  update_level(from.shares, world.what->tokens_per_s, world.now);
+  add_event(world, world.now + gossip_interval, event_kind::gossip, index);
 }
 
 void run(model& world) {
-  double longest = 0;
+  milliseconds longest{0};
   for (const call_kind_model& kind : world.what->kinds) {
-    longest = std::max(longest, kind.deadline_ms);
+    longest = std::max(longest, kind.deadline);
   }
   while (!world.events.empty()) {
     const timed_event next = world.events.top();
     world.events.pop();
-    world.now_ms = next.at_ms;
-    if (world.now_ms > world.what->seconds * 1'000 + longest) {
+    world.now = next.at;
+    if (world.now > start + world.what->lasts + longest) {
       return;
     }
     switch (next.kind) {
@@ -398,7 +396,7 @@
   if (!call.ended) {
     return 0;
   }
-  return call.first_ms <= kind.aim_ms ? call.worth : call.worth * kind.late_worth / kind.worth;
+  return call.first <= kind.aim ? call.worth : call.worth * kind.late_worth / kind.worth;
 }
 
 // The lowest share earned by a group of calls; small groups say nothing.
@@ -464,8 +462,8 @@
     result.served += call.ended ? 1 : 0;
     refused += call.refusals > 0 ? 1 : 0;
     returned += call.refusals > 0 && call.ended ? 1 : 0;
-    if (call.first_ms >= 0) {
-      first.push_back(call.first_ms);
+    if (call.first.has_value()) {
+      first.push_back(to_ms(*call.first));
     }
   }
   const double calls = static_cast<double>(world.calls.size());
@@ -527,11 +525,10 @@
         {target_name{"engine-" + std::to_string(engine)}, what.engine.slots, false});
   }
   for (std::size_t call = 0; call < world.calls.size(); ++call) {
-    add_event(world, world.calls[call].arrived_ms, event_kind::arrival, call);
+    add_event(world, world.calls[call].arrived, event_kind::arrival, call);
   }
   for (std::size_t router = 0; router < world.routers.size(); ++router) {
-    add_event(world, gossip_ms * static_cast<double>(router) / what.routers, event_kind::gossip,
-              router);
+    add_event(world, start + gossip_interval * router / what.routers, event_kind::gossip, router);
   }
   run(world);
   return summarize(world);
--- a/experiment/scenario.cc
+++ b/experiment/scenario.cc
@@ -3,6 +3,9 @@
 namespace peridot::experiment {
 namespace {
 
+using ms = milliseconds;
+using std::chrono::seconds;
+
 constexpr double factor_of_a_heavy_day = 1.05;  // calls of a played heavy day over the sheet
 
 // Long shared prompts over many subjects, short drafts, long outputs: by the sheet of
@@ -10,8 +13,8 @@
 std::vector<call_kind_model> listings_kinds(double factor) {
   return {{"long-shared",
            45.8 * factor,
-           600,
-           5'000,
+           ms{600},
+           ms{5'000},
            4.4,
            1.3,
            {{2'520, 0.4, 4}, {3'780, 0.7, 162}},
@@ -19,8 +22,8 @@
            52},
           {"short-shared",
            53 * factor,
-           1'200,
-           3'000,
+           ms{1'200},
+           ms{3'000},
            1.1,
            0.33,
            {{341, 0.4, 15}, {227, 0.7, 84}},
@@ -28,8 +31,8 @@
            24},
           {"long-output",
            34.6 * factor,
-           1'500,
-           15'000,
+           ms{1'500},
+           ms{15'000},
            0.56,
            0.17,
            {{103, 0.4, 4}, {69, 0.7, 55}},
@@ -43,10 +46,10 @@
   result.shows = "heavy day of ashyq-esik: hot organisations, a hot subject, a burst";
   result.tokens_per_s = 420'000;
   result.kinds = listings_kinds(factor_of_a_heavy_day);
-  result.surges = {{surge::what::organisation, 0, 6, 4, 8},
-                   {surge::what::organisation, 1, 6, 14, 8},
-                   {surge::what::subject, 0, 0.25, 18, 6},
-                   {surge::what::kind, 2, 2.5, 24, 5}};
+  result.surges = {{surge::what::organisation, 0, 6, seconds{4}, seconds{8}},
+                   {surge::what::organisation, 1, 6, seconds{14}, seconds{8}},
+                   {surge::what::subject, 0, 0.25, seconds{18}, seconds{6}},
+                   {surge::what::kind, 2, 2.5, seconds{24}, seconds{5}}};
   return result;
 }
 
@@ -59,13 +62,13 @@
   result.engine.step_ms = 5.23;
   result.tokens_per_s = 330'000;
   result.kinds = listings_kinds(factor_of_a_heavy_day * 0.85);
-  result.kinds[0].aim_ms = 800;
-  result.kinds[0].deadline_ms = 6'000;
-  result.kinds[1].aim_ms = 1'500;
-  result.kinds[1].deadline_ms = 4'000;
-  result.surges = {{surge::what::organisation, 0, 6, 4, 10},
-                   {surge::what::subject, 0, 0.25, 10, 6},
-                   {surge::what::kind, 0, 1.5, 20, 6}};
+  result.kinds[0].aim = ms{800};
+  result.kinds[0].deadline = ms{6'000};
+  result.kinds[1].aim = ms{1'500};
+  result.kinds[1].deadline = ms{4'000};
+  result.surges = {{surge::what::organisation, 0, 6, seconds{4}, seconds{10}},
+                   {surge::what::subject, 0, 0.25, seconds{10}, seconds{6}},
+                   {surge::what::kind, 0, 1.5, seconds{20}, seconds{6}}};
   return result;
 }
 
@@ -76,8 +79,8 @@
   result.tokens_per_s = 420'000;
   result.kinds = {{"question",
                    50,
-                   800,
-                   5'000,
+                   ms{800},
+                   ms{5'000},
                    1,
                    0.3,
                    {{1'000, 0.2, 1}, {6'000, 0.5, 900}},
@@ -93,14 +96,14 @@
   result.tokens_per_s = 420'000;
   result.kinds = {{"question",
                    130,
-                   800,
-                   5'000,
+                   ms{800},
+                   ms{5'000},
                    1,
                    0.3,
                    {{500, 0.2, 1}, {9'000, 0.3, 60}},
                    {1'500, 0.5, 0},
                    60}};
-  result.surges = {{surge::what::subject, 0, 0.6, 8, 20}};
+  result.surges = {{surge::what::subject, 0, 0.6, seconds{8}, seconds{20}}};
   return result;
 }
 
@@ -109,8 +112,8 @@
   result.name = "short-calls";
   result.shows = "prompts without shared parts, short answers: only load counts";
   result.tokens_per_s = 420'000;
-  result.kinds = {{"edit", 260, 500, 3'000, 1, 0.3, {}, {1'400, 0.8, 0}, 16}};
-  result.surges = {{surge::what::kind, 0, 1.8, 10, 8}};
+  result.kinds = {{"edit", 260, ms{500}, ms{3'000}, 1, 0.3, {}, {1'400, 0.8, 0}, 16}};
+  result.surges = {{surge::what::kind, 0, 1.8, seconds{10}, seconds{8}}};
   return result;
 }
 
--- a/experiment/scenario.h
+++ b/experiment/scenario.h
@@ -20,8 +20,8 @@
 struct call_kind_model {
   std::string name;
   double per_second = 0;
-  double aim_ms = 600;
-  double deadline_ms = 5'000;
+  milliseconds aim{600};
+  milliseconds deadline{5'000};
   double worth = 1;
   double late_worth = 0.3;
   std::vector<chain_level> shared;  // outermost first
@@ -29,13 +29,13 @@
   double tokens_out = 50;
 };
 
-// From `from_s` on, for `for_s`: calls of a kind, an organisation or one subject grow.
+// From `from` on: calls of a kind, an organisation or one subject grow.
 struct surge {
   enum class what { kind, organisation, subject } of = what::kind;
   int index = 0;
   double times = 1;  // of a subject: its share of its kind's calls
-  double from_s = 0;
-  double for_s = 0;
+  std::chrono::seconds from{0};
+  std::chrono::seconds lasts{0};
 };
 
 struct scenario {
@@ -48,7 +48,7 @@
   int organisations = 16;
   std::vector<call_kind_model> kinds;
   std::vector<surge> surges;
-  double seconds = 40;
+  std::chrono::seconds lasts{40};
 };
 
 // The sites' shapes, and others that no constant was chosen on.
--- a/experiment/testing/engine_model_test.cc
+++ b/experiment/testing/engine_model_test.cc
@@ -21,15 +21,15 @@
 }
 
 // Runs until the engine is idle; the time that it took.
-double finish_all(engine_model& engine, std::size_t& ended) {
-  double now_ms = 0;
+duration finish_all(engine_model& engine, std::size_t& ended) {
+  instant now{};
   while (true) {
-    const step_result done = take_step(engine, now_ms);
-    if (done.duration_ms <= 0) {
-      return now_ms;
+    const step_result done = take_step(engine, now);
+    if (done.time <= duration{0}) {
+      return now - instant{};
     }
     ended += done.ended.size();
-    now_ms += done.duration_ms;
+    now += done.time;
   }
 }
 
@@ -52,7 +52,7 @@
   engine.options.step_ms_per_writer = 0;
   std::size_t ended = 0;
   submit(engine, make_run(1, 7, 4'096, 4'096, 10));
-  const double first = finish_all(engine, ended);
+  const double first = to_ms(finish_all(engine, ended));
   CHECK(ended == 1);
   CHECK(engine.tokens_read == 8'192);
   // Four chunks with a step each, the last one writes the first token, then nine more.
@@ -91,15 +91,15 @@
   engine_model engine;
   engine.options.memory_tokens = 30'000;
   engine.options.slots = 8;
-  double now_ms = 0;
+  instant now{};
   for (std::uint64_t id = 0; id < 3'000; ++id) {
     submit(engine, make_run(id, random() % 20, 1'000 + random() % 3'000, 100 + random() % 2'000,
                             1 + random() % 60));
     if (random() % 5 == 0) {
-      cancel(engine, random() % (id + 1), now_ms);
+      cancel(engine, random() % (id + 1), now);
     }
     for (int step = 0; step < 6; ++step) {
-      now_ms += take_step(engine, now_ms).duration_ms;
+      now += take_step(engine, now).time;
       CHECK(engine.running.size() <= 8);
       CHECK(engine.used <= doctest::Approx(engine.options.memory_tokens + 8));
       CHECK(engine.used == doctest::Approx(memory_of(engine)));
--- a/experiment/testing/fleet_model_test.cc
+++ b/experiment/testing/fleet_model_test.cc
@@ -16,7 +16,7 @@
 scenario scenario_named(const std::string& name) {
   for (scenario& one : all_scenarios()) {
     if (one.name == name) {
-      one.seconds = 25;
+      one.lasts = std::chrono::seconds{25};
       return one;
     }
   }
