Metrics and logs that tell why an organisation is served less than others

Counters and gauges now come before the histograms. Tokens asked for, tokens served and calls refused are counted by organisation (page: the 32 busiest). One line a second gives the fair share and the usage of the most served organisations while demand exceeds capacity. Call sent has queue_ms, Call not admitted caller and tokens_in.

No decision is changed.

--- a/net/metrics.cc
+++ b/net/metrics.cc
@@ -1,5 +1,6 @@
 #include "net/metrics.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace peridot {
@@ -26,6 +27,46 @@
   out << "# HELP " << name << " " << help << "\n# TYPE " << name << " counter\n";
 }
 
+using named_organisation = std::pair<const std::string, organisation_counters>;
+
+void write_tokens(std::ostringstream& out, const std::string& name, const std::string& help,
+                  const std::vector<const named_organisation*>& organisations,
+                  double organisation_counters::*tokens) {
+  write_counter_header(out, name, help);
+  for (const named_organisation* entry : organisations) {
+    out << name << "{organisation=\"" << entry->first << "\"} "
+        << static_cast<std::uint64_t>(entry->second.*tokens) << "\n";
+  }
+}
+
+void write_organisations(std::ostringstream& out, const metrics& values) {
+  std::vector<const named_organisation*> busiest;
+  busiest.reserve(values.organisations.size());
+  for (const named_organisation& entry : values.organisations) {
+    busiest.push_back(&entry);
+  }
+  const std::size_t count = std::min(busiest.size(), max_exposed_organisations);
+  std::partial_sort(busiest.begin(), busiest.begin() + static_cast<std::ptrdiff_t>(count),
+                    busiest.end(),
+                    [](const named_organisation* left, const named_organisation* right) {
+                      return left->second.asked_tokens > right->second.asked_tokens;
+                    });
+  busiest.resize(count);
+  write_tokens(out, "peridot_organisation_asked_tokens_total",
+               "Weighted tokens of calls that arrived, of the busiest organisations.", busiest,
+               &organisation_counters::asked_tokens);
+  write_tokens(out, "peridot_organisation_served_tokens_total",
+               "Weighted tokens of calls sent to an engine.", busiest,
+               &organisation_counters::served_tokens);
+  write_counter_header(out, "peridot_organisation_refused_total", "Calls refused, by reason.");
+  for (const named_organisation* entry : busiest) {
+    for (const std::pair<const std::string, std::uint64_t>& refused : entry->second.refused_calls) {
+      out << "peridot_organisation_refused_total{organisation=\"" << entry->first << "\",reason=\""
+          << refused.first << "\"} " << refused.second << "\n";
+    }
+  }
+}
+
 }  // namespace
 
 void record_duration(duration_histogram& histogram, duration elapsed) {
@@ -40,14 +81,6 @@
 
 std::string to_exposition(const metrics& values, const std::vector<scalar_metric>& scalars) {
   std::ostringstream out;
-  write_histogram(out, "peridot_queue_wait_seconds", "From arrival to dispatch.",
-                  values.queue_wait);
-  write_histogram(out, "peridot_first_byte_seconds", "From arrival to the answer's first byte.",
-                  values.time_to_first_byte);
-  write_histogram(out, "peridot_between_chunks_seconds", "Between chunks of a streamed answer.",
-                  values.between_chunks);
-  write_histogram(out, "peridot_answer_seconds", "From arrival to the answer's end.",
-                  values.response_time);
   write_counter_header(out, "peridot_answered_total", "Calls answered whole.");
   out << "peridot_answered_total " << values.answered_calls << "\n";
   write_counter_header(out, "peridot_calls_ended_total",
@@ -57,6 +90,7 @@
     out << "peridot_calls_ended_total{outcome=\"" << entry.first.first << "\",reason=\""
         << entry.first.second << "\"} " << entry.second << "\n";
   }
+  write_organisations(out, values);
   write_counter_header(out, "peridot_retried_total", "Runs that were tried again.");
   out << "peridot_retried_total " << values.retries << "\n";
   write_counter_header(out, "peridot_cut_answers_total",
@@ -69,6 +103,14 @@
         << (value.is_counter ? "counter" : "gauge") << "\n"
         << value.name << " " << value.value << "\n";
   }
+  write_histogram(out, "peridot_queue_wait_seconds", "From arrival to dispatch.",
+                  values.queue_wait);
+  write_histogram(out, "peridot_first_byte_seconds", "From arrival to the answer's first byte.",
+                  values.time_to_first_byte);
+  write_histogram(out, "peridot_between_chunks_seconds", "Between chunks of a streamed answer.",
+                  values.between_chunks);
+  write_histogram(out, "peridot_answer_seconds", "From arrival to the answer's end.",
+                  values.response_time);
   return out.str();
 }
 
--- a/net/metrics.h
+++ b/net/metrics.h
@@ -35,6 +35,16 @@
 
 void record_duration(duration_histogram& histogram, duration elapsed);
 
+// Calls of one organisation. Tokens are weighted as in core/routing/fair_share.h.
+struct organisation_counters {
+  double asked_tokens = 0;                             // of calls that arrived, retries included
+  double served_tokens = 0;                            // of calls that were sent to an engine
+  std::map<std::string, std::uint64_t> refused_calls;  // by reason
+};
+
+// On the metrics page, those that asked for most tokens.
+inline constexpr std::size_t max_exposed_organisations = 32;
+
 struct metrics {
   duration_histogram queue_wait;          // from arrival to dispatch
   duration_histogram time_to_first_byte;  // from arrival to the first byte of the response
@@ -43,6 +53,8 @@
   std::uint64_t answered_calls = 0;       // with a complete response
   // By outcome and reason.
   std::map<std::pair<std::string, std::string>, std::uint64_t> ended_calls;
+  // By name. Bounded by the number of organisations in all configurations of the process's life.
+  std::map<std::string, organisation_counters> organisations;
   std::uint64_t retries = 0;
   std::uint64_t retries_denied = 0;  // by the retry budget
   std::uint64_t aborted_responses = 0;
@@ -60,6 +72,8 @@
   bool is_counter = false;
 };
 
+// The page of all metrics. Counters and gauges come first: a reader that cuts the page off loses
+// buckets of histograms only.
 std::string to_exposition(const metrics& values, const std::vector<scalar_metric>& scalars);
 
 }  // namespace peridot
--- a/router/call_arrival.cc
+++ b/router/call_arrival.cc
@@ -139,8 +139,9 @@
   }
   set_caller_handlers_and_deadline_timer(*call);
   if (call->request.call_prompt.has_value()) {
-    record_asked_tokens(router.shares, call->organisation,
-                        weighted_tokens(*call->request.call_prompt), current_time());
+    const double tokens = weighted_tokens(*call->request.call_prompt);
+    record_asked_tokens(router.shares, call->organisation, tokens, current_time());
+    router.call_metrics.organisations[call->organisation.value].asked_tokens += tokens;
   }
   place_call(*call);
 }
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -337,7 +337,9 @@
       retry_limits_for(router.settings.retry_ratio, router.settings.retry_slack, router_count));
   record_duration(router.call_metrics.queue_wait, now - call.arrived_at);
   if (call_prompt != nullptr) {
-    record_served_tokens(router.shares, call.organisation, weighted_tokens(*call_prompt), now);
+    const double tokens = weighted_tokens(*call_prompt);
+    record_served_tokens(router.shares, call.organisation, tokens, now);
+    router.call_metrics.organisations[call.organisation.value].served_tokens += tokens;
   }
 }
 
@@ -372,6 +374,7 @@
           std::to_string(
               call_prompt == nullptr ? 0 : static_cast<int>(call_prompt->expected_output_tokens)) +
           " predicted_ms=" + std::to_string(static_cast<int>(choice.first_token_ms)) +
+          " queue_ms=" + std::to_string(static_cast<int>(choice.queue_ms)) +
           " unread_ahead=" + std::to_string(static_cast<int>(choice.pending_prefill_tokens)) +
           " kept=" + std::to_string(static_cast<int>(choice.cached_tokens)) +
           " running=" + std::to_string(choice.running_calls) +
--- a/router/call_end.cc
+++ b/router/call_end.cc
@@ -116,6 +116,7 @@
   PERIDOT_CHECK(!call.may_have_run, "a call that may have run must end as failed, not as refused");
   const int status = http_status_of(reason, false);
   send_error_response(*call.exchange, status, reason, retry_after);
+  ++call.router->call_metrics.organisations[call.organisation.value].refused_calls[to_text(reason)];
   finish_call(call, call_outcome::refused, status, reason);
 }
 
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -191,6 +191,8 @@
                          const admission_decision& decision) {
   log_line(log_part::http, log_level::warn,
            "Call not admitted. call=" + call.request.id + " reason=" + to_text(decision.reason) +
+               " caller=" + call.organisation.value + " tokens_in=" +
+               std::to_string(static_cast<int>(call.request.call_prompt->prompt_tokens)) +
                " best_target=" + choice.chosen->name.value +
                " predicted_ms=" + std::to_string(static_cast<int>(choice.first_token_ms)) +
                " queue_ms=" + std::to_string(static_cast<int>(choice.queue_ms)) +
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -1,10 +1,12 @@
 #include "router/router_process.h"
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 #include <utility>
 
 #include "core/base/ip_endpoint.h"
+#include "core/base/stable_hash.h"
 #include "core/base/version.h"
 #include "net/log.h"
 #include "router/call_internal.h"
@@ -24,6 +26,13 @@
 constexpr milliseconds exit_margin{400};              // before the platform kills the process
 constexpr std::size_t max_internal_connections = 32;  // per listener: readiness, control, metrics
 
+constexpr milliseconds share_log_interval{1'000};
+constexpr std::size_t max_logged_organisations = 4;  // those that were served most tokens
+
+std::string tokens_text(double tokens) {
+  return std::to_string(static_cast<std::int64_t>(tokens));
+}
+
 std::uint64_t random_incarnation() {
   std::random_device source;
   const std::uint64_t high = source();
@@ -133,6 +142,38 @@
                " turned_away=" + std::to_string(connections_rejected));
 }
 
+// Logs the usage of the organisations that this router serves, at most once per
+// share_log_interval and only while demand exceeds the capacity.
+void log_shares(router_state& router, instant now) {
+  const share_table& shares = router.shares;
+  if (shares.fair_share_per_window <= 0 || now - router.shares_logged_at < share_log_interval) {
+    return;
+  }
+  router.shares_logged_at = now;
+  using named_usage = std::pair<organisation_name, token_usage>;
+  std::vector<named_usage> most_served;
+  for (const std::pair<const organisation_name, token_usage_window>& entry : shares.own) {
+    auto total = shares.totals.find(stable_hash(entry.first.value));
+    if (total != shares.totals.end()) {
+      most_served.emplace_back(entry.first, total->second);
+    }
+  }
+  const std::size_t count = std::min(most_served.size(), max_logged_organisations);
+  std::partial_sort(most_served.begin(), most_served.begin() + static_cast<std::ptrdiff_t>(count),
+                    most_served.end(), [](const named_usage& left, const named_usage& right) {
+                      return left.second.served > right.second.served;
+                    });
+  std::string text =
+      "Demand exceeds capacity. reports=" + std::to_string(shares.peer_usage.size()) +
+      " fair_share=" + tokens_text(shares.fair_share_per_window);
+  for (std::size_t index = 0; index < count; ++index) {
+    const named_usage& usage = most_served[index];
+    text += " " + usage.first.value + "=" + tokens_text(usage.second.served) + "/" +
+            tokens_text(usage.second.asked);
+  }
+  log_line(log_part::process, log_level::info, text);
+}
+
 void on_tick(router_state& router) {
   const instant now = current_time();
   // Measures the duration of a loop iteration: the callback runs in the next one, after all
@@ -148,6 +189,7 @@
   update_fair_share(router.shares,
                     router.store.config == nullptr ? 0 : router.store.config->tokens_per_second,
                     now);
+  log_shares(router, now);
   expire_peer_loads(router.loads, now);
   expire_crash_suspects(router.crash_suspects, now);
   platform::set_live_peer_count(router.store_client, live_peer_count(router.membership, now), now);
