Drop a peer's load at targets that its next report leaves out

Routers of a large fleet predicted queues of calls that had ended, and refused or placed calls by them.

Cause: a router leaves a target without load out of its gossip. A receiver replaced only the loads that a message lists, so the last load that it had reported stayed valid for two and a half gossip cycles: 1.5 s in a small fleet, 3 s at 84 routers, where a router's calls at one engine are few and short.

Change: complete_peer_report() drops the loads of the peer's last report that the new one doesn't list. The cost is n log n in the targets of the two reports, which are those that one router uses. The simulation leaves targets out like the router.

Test: placement_test.cc; with complete_peer_report() doing nothing its sections on dropped loads fail.

--- a/core/routing/placement.cc
+++ b/core/routing/placement.cc
@@ -391,7 +391,31 @@
   }
 }
 
+void complete_peer_report(load_table& table, const router_address& peer,
+                          reported_targets reported) {
+  std::sort(reported.targets.begin(), reported.targets.end());
+  reported_targets& last = table.peer_reports[peer];
+  for (const target_name& target : last.targets) {
+    auto found = table.targets.find(target);
+    const bool still_reported =
+        std::binary_search(reported.targets.begin(), reported.targets.end(), target);
+    if (still_reported || found == table.targets.end()) {
+      continue;
+    }
+    auto load = found->second.peer_loads.find(peer);
+    if (load != found->second.peer_loads.end()) {
+      add_load(found->second.peer_total, load->second, -1);
+      found->second.peer_loads.erase(load);
+    }
+  }
+  last = std::move(reported);
+}
+
 void expire_peer_loads(load_table& table, instant now) {
+  std::erase_if(table.peer_reports,
+                [now](const std::pair<const router_address, reported_targets>& entry) {
+                  return now > entry.second.valid_until;
+                });
   for (std::pair<const target_name, target_load>& entry : table.targets) {
     target_load& load = entry.second;
     std::erase_if(load.peer_loads,
--- a/core/routing/placement.h
+++ b/core/routing/placement.h
@@ -104,8 +104,15 @@
   double service_ms = 0;               // of a whole call at a plain target
 };
 
+// The targets at which a peer had load or prefilled, by its last report.
+struct reported_targets {
+  std::vector<target_name> targets;
+  instant valid_until{};
+};
+
 struct load_table {
   std::map<target_name, target_load> targets;
+  std::map<router_address, reported_targets> peer_reports;
   double mean_prefill_tokens_per_ms = 0;  // over all engines; 0: not measured yet
   double mean_output_token_ms = 0;        // likewise
 };
@@ -186,6 +193,10 @@
                       const peer_load& reported, const std::vector<std::uint32_t>& prefixes,
                       double prefilled_tokens);
 
+// To be called after a report's targets were updated, with all of them: drops the peer's load at
+// targets that it has reported before and does not report any more.
+void complete_peer_report(load_table& table, const router_address& peer, reported_targets reported);
+
 // Drops peers' loads that are no longer valid.
 void expire_peer_loads(load_table& table, instant now);
 
--- a/core/testing/placement_test.cc
+++ b/core/testing/placement_test.cc
@@ -271,3 +271,41 @@
     CHECK(total_kv_used_tokens(load) == doctest::Approx(kv_used_tokens));
   }
 }
+
+// Guards against loads that outlive their calls: a router left targets without load out of its
+// report, and its peers counted its last calls there for two and a half gossip cycles more.
+TEST_CASE("a peer's load at a target is gone once its next report leaves the target out") {
+  load_table table;
+  const router_address peer{"peer"};
+  const instant valid_until = start + milliseconds{3'000};
+  const target_name busy{"busy"};
+  const target_name idle{"idle"};
+  update_peer_load(table, peer, busy, {3, 5'000, 9'000, valid_until}, {}, 0);
+  update_peer_load(table, peer, idle, {1, 2'000, 2'500, valid_until}, {}, 0);
+  update_peer_load(table, router_address{"other"}, idle, {2, 700, 900, valid_until}, {}, 0);
+  complete_peer_report(table, peer, {{busy, idle}, valid_until});
+  CHECK(total_running_calls(table.targets.at(idle)) == 3);
+  SUBCASE("the other targets and the loads of other peers stay") {
+    update_peer_load(table, peer, busy, {2, 1'000, 3'000, valid_until}, {}, 0);
+    complete_peer_report(table, peer, {{busy}, valid_until});
+    CHECK(total_running_calls(table.targets.at(busy)) == 2);
+    CHECK(total_running_calls(table.targets.at(idle)) == 2);
+    CHECK(total_pending_prefill_tokens(table.targets.at(idle)) == 700);
+    CHECK(total_kv_used_tokens(table.targets.at(idle)) == 900);
+  }
+  SUBCASE("a report without targets drops all of the peer's load") {
+    complete_peer_report(table, peer, {{}, valid_until});
+    CHECK(total_running_calls(table.targets.at(busy)) == 0);
+    CHECK(total_running_calls(table.targets.at(idle)) == 2);
+  }
+  SUBCASE("a target that was removed meanwhile is ignored") {
+    remove_target_load(table, idle);
+    complete_peer_report(table, peer, {{busy}, valid_until});
+    CHECK(total_running_calls(table.targets.at(busy)) == 3);
+  }
+  SUBCASE("expired reports are forgotten") {
+    expire_peer_loads(table, valid_until + milliseconds{1});
+    CHECK(table.peer_reports.empty());
+    CHECK(total_running_calls(table.targets.at(busy)) == 0);
+  }
+}
--- a/experiment/fleet_model.cc
+++ b/experiment/fleet_model.cc
@@ -429,13 +429,20 @@
   }
   for (std::size_t receiver_index : peers) {
     simulated_router& receiver = state.routers[receiver_index];
+    reported_targets reported;
+    reported.valid_until = valid_until;
     for (const std::pair<const target_name, target_load>& entry : sender.loads.targets) {
       const target_load& load = entry.second;
+      if (load.running_calls == 0 && load.current_prefill_report.prefixes.empty()) {
+        continue;
+      }
+      reported.targets.push_back(entry.first);
       update_peer_load(
           receiver.loads, sender_address, entry.first,
           {load.running_calls, load.pending_prefill_tokens, load.kv_used_tokens, valid_until},
           load.current_prefill_report.prefixes, load.current_prefill_report.tokens);
     }
+    complete_peer_report(receiver.loads, sender_address, std::move(reported));
     update_peer_usage(receiver.shares, sender_address, reported_tokens, valid_until);
   }
   update_fair_share(sender.shares, state.scenario->capacity_tokens_per_s, state.now);
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -89,6 +89,8 @@
 void apply_peer_loads(router_state& router, const router_address& from, const wire::gossip& gossip,
                       instant now) {
   update_target_index(router);
+  reported_targets reported;
+  reported.valid_until = now + router.membership.report_ttl;
   for (const wire::target_use& usage : gossip.targets()) {
     auto found = router.target_by_hash.find(usage.target());
     if (found == router.target_by_hash.end()) {
@@ -96,11 +98,13 @@
     }
     const std::vector<std::uint32_t> prefixes(usage.read_prefixes().begin(),
                                               usage.read_prefixes().end());
-    const peer_load reported{
-        static_cast<int>(usage.running()), static_cast<double>(usage.unread_tokens()),
-        static_cast<double>(usage.memory_tokens()), now + router.membership.report_ttl};
-    update_peer_load(router.loads, from, found->second, reported, prefixes, usage.tokens_read());
+    const peer_load load{static_cast<int>(usage.running()),
+                         static_cast<double>(usage.unread_tokens()),
+                         static_cast<double>(usage.memory_tokens()), reported.valid_until};
+    update_peer_load(router.loads, from, found->second, load, prefixes, usage.tokens_read());
+    reported.targets.push_back(found->second);
   }
+  complete_peer_report(router.loads, from, std::move(reported));
 }
 
 // Requests items from a peer whose store revisions have been ahead for items_request_delay,
