In large fleets, choose an engine among a random sample

Cause: with 84 to 88 routers a report is up to one gossip cycle old, 1.2 s. All routers see the same engines idle meanwhile and send to them; only a router's own sends count at once. Engines were full that the other routers believed idle.

Change: choose_engine() looks at a random sample of the engines besides those that have the call's shared prefix cached and the one that ranks first for it. The sample is half of the pool over the rounds of a gossip cycle, at least six engines. A fleet that reports in every round (17 routers or fewer) chooses among all, as before.

Test: placement_test.cc, 84 routers on the same reports; its first section shows that all choose the same engine without a sample.

--- a/core/fleet/membership.cc
+++ b/core/fleet/membership.cc
@@ -21,9 +21,9 @@
 
 void start_cycle(membership_table& table, instant now) {
   table.pending_peers = live_peers(table, now);
-  const std::size_t rounds_per_cycle =
-      (table.pending_peers.size() + max_peers_per_round - 1) / max_peers_per_round;
-  const duration cycle_duration = table.interval * std::max<std::size_t>(1, rounds_per_cycle);
+  table.rounds_per_cycle = std::max<std::size_t>(
+      1, (table.pending_peers.size() + max_peers_per_round - 1) / max_peers_per_round);
+  const duration cycle_duration = table.interval * table.rounds_per_cycle;
   table.report_ttl = std::max<duration>(min_report_ttl, scaled(cycle_duration, report_ttl_cycles));
 }
 
--- a/core/fleet/membership.h
+++ b/core/fleet/membership.h
@@ -55,6 +55,7 @@
   duration interval{};                         // between rounds
   std::vector<router_address> pending_peers;   // not yet reached in this cycle
   duration report_ttl{min_report_ttl};         // validity of a peer's report
+  std::size_t rounds_per_cycle = 1;            // of the cycle that started last
 };
 
 // The peers to which one round of gossip is sent.
--- a/core/routing/placement.cc
+++ b/core/routing/placement.cc
@@ -1,6 +1,7 @@
 #include "core/routing/placement.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "core/base/check.h"
@@ -38,6 +39,7 @@
 constexpr double max_first_token_overhead_ms = 400;
 constexpr double min_prefill_tokens_per_ms = 3;
 constexpr double max_prefill_tokens_per_ms = 400;
+constexpr double sample_fraction_of_one_round = 0.5;
 constexpr double service_time_ewma_weight = 0.1;
 constexpr double default_service_ms = 60;
 constexpr std::size_t max_tracked_prefixes = 20'000;  // of one engine, about 0.6 MB
@@ -131,6 +133,7 @@
   const target_load* load = nullptr;
   double cached_tokens = 0;
   std::uint64_t rendezvous_score = 0;
+  bool sampled = true;
 };
 
 void add_load(peer_load& sum, const peer_load& load, int sign) {
@@ -182,6 +185,12 @@
   return std::min(cached_tokens, call_prompt.prompt_tokens);
 }
 
+double engine_sample_fraction(std::size_t rounds_per_cycle) {
+  return rounds_per_cycle <= 1
+             ? 1
+             : sample_fraction_of_one_round / static_cast<double>(rounds_per_cycle);
+}
+
 placement choose_engine(const load_table& table, const std::vector<candidate>& candidates,
                         const engine_call& call) {
   const prompt& call_prompt = *call.call_prompt;
@@ -191,12 +200,18 @@
       on_time_first_token_fraction * to_ms(call.min_latency_objective);
   std::vector<candidate_state> states;
   states.reserve(candidates.size());
+  const double sample_fraction = std::max(
+      call.sample_fraction, static_cast<double>(min_sampled_engines) /
+                                static_cast<double>(std::max<std::size_t>(1, candidates.size())));
+  std::minstd_rand sample_random(static_cast<std::minstd_rand::result_type>(call.sample_seed));
+  std::bernoulli_distribution is_sampled(std::min(1.0, sample_fraction));
   std::size_t rendezvous_index = 0;  // of the highest score; the same for the same candidates
   bool cached_anywhere = false;
   for (const candidate& engine : candidates) {
     const target_load& load = load_or_empty(table, engine.name);
     states.push_back({&load, cached_prompt_tokens(load, call_prompt, call.kv_capacity_tokens),
-                      stable_hash(engine.name.value, prefix_hash)});
+                      stable_hash(engine.name.value, prefix_hash),
+                      sample_fraction >= 1 || is_sampled(sample_random)});
     cached_anywhere = cached_anywhere || states.back().cached_tokens >= shared_tokens;
     if (states.back().rendezvous_score > states[rendezvous_index].rendezvous_score) {
       rendezvous_index = states.size() - 1;
@@ -205,6 +220,11 @@
   placement best;
   double best_cost = 0;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
+    const bool prefers_cached = !call.earliest_first_token && shared_tokens > 0 &&
+                                states[index].cached_tokens >= shared_tokens;
+    if (!states[index].sampled && !prefers_cached && index != rendezvous_index) {
+      continue;
+    }
     const candidate& engine = candidates[index];
     const target_load& load = *states[index].load;
     const double prefill_rate = estimated_prefill_tokens_per_ms(table, load);
--- a/core/routing/placement.h
+++ b/core/routing/placement.h
@@ -30,6 +30,10 @@
 // separates engines that mostly prefill from engines that mostly generate, without
 // configuration.
 //
+// In a large fleet, reports reach a router one gossip cycle late, and all routers see the same
+// engines idle meanwhile. Each call then chooses among a random sample of the engines, so that
+// the routers do not all choose the same ones.
+//
 // Load patterns handled: many groups of prompts, each with a long shared prefix (each
 // prefix is prefilled by few engines); many short shared prefixes (they are used often
 // enough to stay cached); one hot prefix (calls spill over to other engines once the wait
@@ -58,6 +62,7 @@
 inline constexpr double default_prefill_tokens_per_ms = 30;  // until one was measured
 // The prefix cache is assumed to hold at least this fraction of an engine's KV capacity.
 inline constexpr double min_prefix_cache_fraction = 0.25;
+inline constexpr std::size_t min_sampled_engines = 6;
 // Engines evict prefixes sooner than the estimate says.
 inline constexpr double prefix_cache_safety_factor = 0.85;
 
@@ -158,8 +163,15 @@
   duration time_left{};                 // until the call's deadline
   // Choose by the time to the first token alone, whatever it costs other calls.
   bool earliest_first_token = false;
+  // Fraction of the engines to choose among, besides those that have the shared prefix cached.
+  double sample_fraction = 1;
+  std::uint64_t sample_seed = 0;
 };
 
+// The fraction of the engines that a call chooses among when a gossip cycle takes that many
+// rounds: all of them in a fleet whose routers all report in each round.
+double engine_sample_fraction(std::size_t rounds_per_cycle);
+
 placement choose_engine(const load_table& table, const std::vector<candidate>& candidates,
                         const engine_call& call);
 
--- a/core/testing/placement_test.cc
+++ b/core/testing/placement_test.cc
@@ -309,3 +309,55 @@
     CHECK(total_running_calls(table.targets.at(busy)) == 0);
   }
 }
+
+// Guards against routers of a large fleet that all send to the engines that their reports, one
+// gossip cycle old, show idle.
+TEST_CASE("load pattern: a large fleet chooses by the same reports: the calls are spread") {
+  constexpr int router_count = 84;
+  constexpr std::size_t rounds_per_cycle = 6;
+  const std::vector<candidate> candidates = make_engines(60);
+  // All routers know the same reports: every engine is busy, but for the first.
+  load_table reports;
+  for (const candidate& engine : candidates) {
+    const double pending_tokens = engine.name.value == "engine-0" ? 0 : 6'000;
+    update_peer_load(reports, router_address{"peer"}, engine.name,
+                     {1, pending_tokens, pending_tokens, start + milliseconds{3'000}}, {}, 0);
+  }
+  std::mt19937_64 random(3);
+  std::map<std::string, int> calls_by_engine;
+  const auto send_all = [&](double sample_fraction) {
+    calls_by_engine.clear();
+    for (int router = 0; router < router_count; ++router) {
+      load_table table = reports;
+      const prompt call_prompt = make_prompt(random(), 30, 2'000);
+      engine_call call = make_engine_call(call_prompt);
+      call.sample_fraction = sample_fraction;
+      call.sample_seed = random();
+      ++calls_by_engine[choose_engine(table, candidates, call).chosen->name.value];
+    }
+  };
+  SUBCASE("among all engines, nearly every router chooses the same one") {
+    send_all(1);
+    CHECK(calls_by_engine["engine-0"] > router_count / 2);
+  }
+  SUBCASE("among a sample, few do, and the calls reach many engines") {
+    send_all(engine_sample_fraction(rounds_per_cycle));
+    CHECK(calls_by_engine["engine-0"] < router_count / 4);
+    CHECK(calls_by_engine.size() > candidates.size() / 3);
+  }
+  SUBCASE("a small fleet, which reports in every round, chooses among all") {
+    CHECK(engine_sample_fraction(1) == 1);
+  }
+  SUBCASE("an engine that has the prompt's prefix cached is chosen, sampled or not") {
+    const prompt call_prompt = make_prompt(1);
+    load_table table;
+    record_call_sent(table, target_name{"engine-7"}, &call_prompt, kv_capacity_tokens, start);
+    for (int round = 0; round < 50; ++round) {
+      const prompt next_prompt = make_prompt(1);
+      engine_call call = make_engine_call(next_prompt);
+      call.sample_fraction = engine_sample_fraction(rounds_per_cycle);
+      call.sample_seed = random();
+      CHECK(choose_engine(table, candidates, call).chosen->name.value == "engine-7");
+    }
+  }
+}
--- a/experiment/fleet_model.cc
+++ b/experiment/fleet_model.cc
@@ -219,6 +219,11 @@
   }
 }
 
+std::size_t rounds_per_cycle(const simulation_state& state) {
+  return std::max<std::size_t>(
+      1, (state.routers.size() - 1 + max_peers_per_round - 1) / max_peers_per_round);
+}
+
 placement place_call(simulation_state& state, simulated_call& call, bool earliest_first_token) {
   simulated_router& router = state.routers[call.router_index];
   const call_kind_options& kind = state.scenario->kinds[call.kind_index];
@@ -246,12 +251,15 @@
   for (const call_kind_options& other : state.scenario->kinds) {
     min_latency_objective = std::min(min_latency_objective, other.latency_objective);
   }
-  return choose_engine(router.loads, state.candidates,
-                       {.call_prompt = &call.call_prompt,
-                        .kv_capacity_tokens = state.scenario->engine.kv_capacity_tokens,
-                        .min_latency_objective = min_latency_objective,
-                        .time_left = call.arrived_at + kind.caller_timeout - state.now,
-                        .earliest_first_token = earliest_first_token});
+  return choose_engine(
+      router.loads, state.candidates,
+      {.call_prompt = &call.call_prompt,
+       .kv_capacity_tokens = state.scenario->engine.kv_capacity_tokens,
+       .min_latency_objective = min_latency_objective,
+       .time_left = call.arrived_at + kind.caller_timeout - state.now,
+       .earliest_first_token = earliest_first_token,
+       .sample_fraction = engine_sample_fraction(rounds_per_cycle(state)),
+       .sample_seed = stable_hash("sample", call.call_prompt.prefixes.back().hash)});
 }
 
 admission_decision decide_admission(const simulation_state& state, const simulated_call& call,
@@ -416,11 +424,10 @@
 void on_gossip(simulation_state& state, std::size_t router_index) {
   simulated_router& sender = state.routers[router_index];
   const router_address sender_address{std::to_string(router_index)};
-  const std::size_t rounds_per_cycle =
-      (state.routers.size() - 1 + max_peers_per_round - 1) / max_peers_per_round;
   const instant valid_until =
-      state.now + std::max<duration>(min_report_ttl,
-                                     scaled(gossip_interval * rounds_per_cycle, report_ttl_cycles));
+      state.now +
+      std::max<duration>(min_report_ttl,
+                         scaled(gossip_interval * rounds_per_cycle(state), report_ttl_cycles));
   const std::vector<std::size_t> peers = next_round_peers(state, router_index);
   std::map<std::uint64_t, token_usage> reported_tokens;
   for (const std::pair<const organisation_name, token_usage_window>& entry : sender.shares.own) {
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -124,12 +124,15 @@
   const load_table& loads = call.router->loads;
   const instant now = current_time();
   if (target_pool.has_engines && call.request.call_prompt.has_value()) {
-    return choose_engine(loads, candidates,
-                         {.call_prompt = &*call.request.call_prompt,
-                          .kv_capacity_tokens = target_pool.kv_capacity_tokens,
-                          .min_latency_objective = target_pool.min_latency_objective,
-                          .time_left = call.deadline - now,
-                          .earliest_first_token = earliest_first_token});
+    return choose_engine(
+        loads, candidates,
+        {.call_prompt = &*call.request.call_prompt,
+         .kv_capacity_tokens = target_pool.kv_capacity_tokens,
+         .min_latency_objective = target_pool.min_latency_objective,
+         .time_left = call.deadline - now,
+         .earliest_first_token = earliest_first_token,
+         .sample_fraction = engine_sample_fraction(call.router->membership.rounds_per_cycle),
+         .sample_seed = stable_hash(call.request.id)});
   }
   return choose_plain_target(loads, candidates, stable_hash(call.request.id));
 }
