Share what engines serve beyond the stated capacity by an admission level

Cause: above its fair share of the stated capacity, an organisation was limited by a shorter tolerated queue only, and the tolerance fell with 1/position. Engines serve two to three times the stated capacity where prompts are cached, so that all large organisations are above their share, and what each got of the rest grew with what it sent.

Change: update_fair_share() also computes the admission level, the max-min share of the tokens served lately times a margin for growth. Each router admits the same fraction of an organisation's calls: the level over what it asks, corrected by what it was served. The margin is 1 + 1 / (rounds of a gossip cycle): queues that a router sees bound admission better while reports are fresh. Above the fair share, the tolerated queue shrinks with the square of the level position. Calls above the level are refused before placement.

Why it works: the level and the fractions follow from sums over all routers, which are the same wherever an organisation enters; queues seen from one router are not.

Tests: shares_and_members_test.cc (closed loop; one router against 84; bursts).

--- a/core/routing/admission.cc
+++ b/core/routing/admission.cc
@@ -5,13 +5,26 @@
 namespace peridot {
 namespace {
 
+// How strictly calls of an organisation at or above its fair share are refused. Where the
+// admission level limits organisations, less strictly below the level and more strictly above.
+double strictness(const admission_input& input) {
+  if (input.level_position <= 0) {
+    return input.share_position;
+  }
+  const double factor = std::clamp(input.level_position * input.level_position,
+                                   1 / max_level_factor, max_level_factor);
+  return input.share_position * factor;
+}
+
 double slack_fraction(const admission_input& input) {
-  const double position = input.share_position;
   if (input.is_fallback) {
-    return position < 1 ? under_share_fallback_slack_fraction : at_share_fallback_slack_fraction;
+    return input.share_position < 1 ? under_share_fallback_slack_fraction
+                                    : at_share_fallback_slack_fraction;
   }
-  return position < 1 ? under_share_slack_fraction
-                      : std::max(min_slack_fraction, at_share_slack_fraction / position);
+  return input.share_position < 1
+             ? under_share_slack_fraction
+             : std::max(min_slack_fraction,
+                        at_share_slack_fraction / std::max(1.0, strictness(input)));
 }
 
 }  // namespace
--- a/core/routing/admission.h
+++ b/core/routing/admission.h
@@ -6,7 +6,8 @@
 // expected queue wait has to fit into a fraction of the slack, less the time elapsed since
 // the call arrived, and the first token has to arrive within usable_time_fraction of the
 // time left. While demand exceeds capacity, the fraction of the slack is smaller for an
-// organisation that has reached its fair share. Short queues leave an engine time for token
+// organisation that has reached its fair share, and smallest for one that also gets more than
+// the admission level (core/routing/fair_share.h). Short queues leave an engine time for token
 // generation and KV cache space for shared prefixes, so that it serves more calls than with
 // long queues. A call that need not queue is always admitted if its first token arrives
 // within usable_time_fraction of the time left.
@@ -32,6 +33,8 @@
 inline constexpr double under_share_slack_fraction = 0.85;  // or while demand is within capacity
 inline constexpr double at_share_slack_fraction = 0.3;      // divided by the share position
 inline constexpr double min_slack_fraction = 0.05;
+// How much the level position changes the strictness against an organisation, at most.
+inline constexpr double max_level_factor = 4;
 
 // The same for a fallback: an engine that was chosen by its time to the first token alone,
 // after the call was not admitted to the engine of lowest cost. They are small, so that only
@@ -42,6 +45,7 @@
 // Fraction of the time left within which the first token has to arrive.
 inline constexpr double usable_time_fraction = 0.85;
 inline constexpr milliseconds min_retry_after{120};
+inline constexpr milliseconds over_level_retry_after{300};  // of a call above the admission level
 // Fraction of the time left; the platform's bound is a third.
 inline constexpr double max_retry_after_fraction = 0.32;
 
@@ -52,6 +56,7 @@
   duration latency_objective{};  // of the route
   duration time_left{};          // until the call's deadline
   double share_position = 0;     // see share_position(); 0: no organisation is limited
+  double level_position = 0;     // see level_position(); 0: no organisation is limited
   double jitter = 0;             // 0 to 1; spreads the retries of refused calls
   bool is_fallback = false;      // chosen by the time to the first token alone
 };
--- a/core/routing/fair_share.cc
+++ b/core/routing/fair_share.cc
@@ -8,6 +8,10 @@
 namespace peridot {
 namespace {
 
+// Bounds of the correction of the admitted fraction by what was served.
+constexpr double min_level_correction = 0.1;
+constexpr double max_level_correction = 2;
+
 std::int64_t bucket_at(instant now) {
   return std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) / share_bucket_width;
 }
@@ -33,6 +37,28 @@
   table.newest_bucket = std::max(table.newest_bucket, bucket);
 }
 
+// The max-min fair share; 0 if the capacity suffices for all or is unknown.
+double limit_or_zero(const std::vector<double>& asked, double capacity) {
+  if (capacity <= 0) {
+    return 0;
+  }
+  const double share = max_min_fair_share(asked, capacity);
+  return share == std::numeric_limits<double>::infinity() ? 0 : share;
+}
+
+// Tokens served to the organisation, divided by min(asked tokens, limit); 0 if there is no limit.
+double position(const share_table& table, const organisation_name& organisation, double limit) {
+  if (limit <= 0) {
+    return 0;
+  }
+  auto found = table.totals.find(stable_hash(organisation.value));
+  if (found == table.totals.end()) {
+    return 0;
+  }
+  const double share = std::min(found->second.asked, limit);
+  return share <= 0 ? 0 : found->second.served / share;
+}
+
 }  // namespace
 
 double weighted_tokens(const prompt& call_prompt) {
@@ -60,7 +86,12 @@
   table.peer_usage[peer] = {valid_until, std::move(reported)};
 }
 
-void update_fair_share(share_table& table, double tokens_per_second, instant now) {
+double admission_growth_factor(std::size_t rounds_per_cycle) {
+  return 1 + 1 / static_cast<double>(std::max<std::size_t>(1, rounds_per_cycle));
+}
+
+void update_fair_share(share_table& table, double tokens_per_second, std::size_t rounds_per_cycle,
+                       instant now) {
   advance_window(table, now);
   // Drops organisations without usage in the window (less than half a token).
   std::erase_if(table.own, [](const std::pair<const organisation_name, token_usage_window>& entry) {
@@ -81,29 +112,42 @@
     }
   }
   std::vector<double> asked_per_organisation;
+  double total_served = 0;
   for (const std::pair<const std::uint64_t, token_usage>& entry : table.totals) {
     asked_per_organisation.push_back(entry.second.asked);
+    total_served += entry.second.served;
   }
   const double window_seconds =
       std::chrono::duration<double>(share_bucket_width * share_bucket_count).count();
-  const double fair_share = tokens_per_second <= 0
-                                ? std::numeric_limits<double>::infinity()
-                                : max_min_fair_share(std::move(asked_per_organisation),
-                                                     tokens_per_second * window_seconds);
-  table.fair_share_per_window =
-      fair_share == std::numeric_limits<double>::infinity() ? 0 : fair_share;
+  const double stated_capacity = tokens_per_second * window_seconds;
+  table.fair_share_per_window = limit_or_zero(asked_per_organisation, stated_capacity);
+  table.admission_level_per_window =
+      stated_capacity <= 0
+          ? 0
+          : limit_or_zero(asked_per_organisation,
+                          std::max(stated_capacity,
+                                   admission_growth_factor(rounds_per_cycle) * total_served));
 }
 
 double share_position(const share_table& table, const organisation_name& organisation) {
-  if (table.fair_share_per_window <= 0) {
-    return 0;
-  }
+  return position(table, organisation, table.fair_share_per_window);
+}
+
+double level_position(const share_table& table, const organisation_name& organisation) {
+  return position(table, organisation, table.admission_level_per_window);
+}
+
+double admitted_fraction(const share_table& table, const organisation_name& organisation) {
   auto found = table.totals.find(stable_hash(organisation.value));
-  if (found == table.totals.end()) {
-    return 0;
+  const double level = table.admission_level_per_window;
+  if (level <= 0 || found == table.totals.end() || found->second.asked <= level) {
+    return 1;
   }
-  const double share = std::min(found->second.asked, table.fair_share_per_window);
-  return share <= 0 ? 0 : found->second.served / share;
+  // Asked tokens divided by what keeps the organisation at the level. Where less is served than
+  // was admitted, or calls arrive in bursts, the correction admits more.
+  const double correction =
+      std::clamp(found->second.served / level, min_level_correction, max_level_correction);
+  return std::min(1.0, level / (found->second.asked * correction));
 }
 
 double max_min_fair_share(std::vector<double> asked, double capacity) {
--- a/core/routing/fair_share.h
+++ b/core/routing/fair_share.h
@@ -7,11 +7,20 @@
 //
 //   record_asked_tokens(table, org, tokens, now);
 //   record_served_tokens(table, org, tokens, now);
-//   update_fair_share(table, tokens_per_second, now);    // a few times a second
+//   update_fair_share(table, tokens_per_second, rounds_per_cycle, now);  // a few times a second
 //   double position = share_position(table, org);        // served / min(asked, fair share)
+//   if (random >= admitted_fraction(table, org)) refuse
 //
 // An organisation with a position of 1 or more has reached its share. While no peer
 // has reported, the totals are the router's own counts.
+//
+// Engines serve more than the stated capacity where prompts are cached. What they serve beyond
+// it is shared by the admission level: the max-min share of what was served lately, plus a
+// margin for growth. An organisation that asks for more than the level is admitted only in
+// part, by the same fraction at every router, however much it sends and wherever it enters. The
+// sums of a window differ far less between routers than their views of the engines' queues do.
+// The margin lets the level rise until calls are refused for the engines' queues. It is smaller
+// the more rounds a gossip cycle takes, as a router's view of the queues is older then.
 // Memory: counts older than the window are dropped, and a peer's report when it expires.
 // Thread safety: none; for use from one event loop.
 #pragma once
@@ -53,6 +62,7 @@
   std::map<router_address, std::pair<instant, std::map<std::uint64_t, token_usage>>> peer_usage;
   std::int64_t newest_bucket = 0;               // number of the bucket that is filled now
   double fair_share_per_window = 0;             // tokens; 0: no organisation is limited
+  double admission_level_per_window = 0;        // likewise; at least the fair share
   std::map<std::uint64_t, token_usage> totals;  // of all routers, by hash of the organisation
 };
 
@@ -69,15 +79,27 @@
 void update_peer_usage(share_table& table, const router_address& peer,
                        std::map<std::uint64_t, token_usage> reported, instant valid_until);
 
-// Recomputes the totals and the fair share. `tokens_per_second`: capacity of all
-// engines; 0: unknown.
-void update_fair_share(share_table& table, double tokens_per_second, instant now);
+// The served tokens times this factor are the capacity that the admission level divides.
+double admission_growth_factor(std::size_t rounds_per_cycle);
+
+// Recomputes the totals, the fair share and the admission level. `tokens_per_second`: stated
+// capacity of all engines; 0: unknown. `rounds_per_cycle`: of gossip, at least 1.
+void update_fair_share(share_table& table, double tokens_per_second, std::size_t rounds_per_cycle,
+                       instant now);
 
 // The tokens served to the organisation in the window, divided by min(asked tokens, fair
 // share); 0 if no organisation is limited, since the engines can serve all that is asked for
 // or their capacity is unknown.
 double share_position(const share_table& table, const organisation_name& organisation);
 
+// The tokens served to the organisation in the window, divided by min(asked tokens, admission
+// level); 0 if the level limits no organisation.
+double level_position(const share_table& table, const organisation_name& organisation);
+
+// The fraction of its calls to admit, so that the organisation is served the admission level at
+// most. 1 if it asks for less or if the level limits no organisation.
+double admitted_fraction(const share_table& table, const organisation_name& organisation);
+
 // The largest share such that the sum of min(asked, share) stays within the capacity;
 // infinite if the sum of `asked` fits.
 double max_min_fair_share(std::vector<double> asked, double capacity);
--- a/core/testing/shares_and_members_test.cc
+++ b/core/testing/shares_and_members_test.cc
@@ -75,26 +75,137 @@
   reported[stable_hash(large.value)] = {50'000, 17'000};
   reported[stable_hash(small.value)] = {1'000, 1'000};
   update_peer_usage(table, router(2).address, reported, start + milliseconds{1'500});
-  update_fair_share(table, 10'000, start + milliseconds{1});  // 20,000 tokens in the window of 2 s
+  update_fair_share(table, 10'000, 1,
+                    start + milliseconds{1});  // 20,000 tokens in the window of 2 s
   SUBCASE("shares are computed from the sum over all routers") {
     CHECK(share_position(table, large) > 1.0);
     // Its fair share is all that it asked for: 1,000 of 2,000 tokens were served.
     CHECK(share_position(table, small) == doctest::Approx(0.5));
   }
   SUBCASE("once the peer's report has expired, only own counts are used") {
-    update_fair_share(table, 10'000, start + milliseconds{1'502});
+    update_fair_share(table, 10'000, 1, start + milliseconds{1'502});
     CHECK(share_position(table, large) == 0);  // the known demand fits the capacity
   }
   SUBCASE("no organisation is above its share while the capacity suffices") {
-    update_fair_share(table, 1'000'000, start + milliseconds{2});
+    update_fair_share(table, 1'000'000, 1, start + milliseconds{2});
     CHECK(share_position(table, large) == 0);
   }
   SUBCASE("counts older than the window are dropped") {
-    update_fair_share(table, 10'000, start + share_bucket_width * (share_bucket_count + 1));
+    update_fair_share(table, 10'000, 1, start + share_bucket_width * (share_bucket_count + 1));
     CHECK(table.own.empty());
   }
 }
 
+// Guards against incident inc1: above the fair share, what an organisation got grew with what it
+// sent, and others got less than half of it.
+TEST_CASE("the admission level shares what the engines serve beyond the stated capacity") {
+  constexpr double stated_capacity = 10'000;  // tokens a second
+  constexpr double real_capacity = 50'000;    // tokens in a window of 2 s
+  constexpr std::size_t rounds_per_cycle = 6;
+  const std::map<std::string, double> demands = {
+      {"flood", 120'000}, {"large", 18'000}, {"medium", 12'000}, {"small", 2'000}};
+  share_table table;
+  const duration window = share_bucket_width * share_bucket_count;
+  // One window of the whole fleet: each organisation is admitted by its fraction, and the engines
+  // serve all alike of what is admitted.
+  const auto play_window = [&](int number) {
+    const instant now = start + window * number;
+    std::map<std::string, double> admitted;
+    double total_admitted = 0;
+    for (const std::pair<const std::string, double>& demand : demands) {
+      admitted[demand.first] =
+          demand.second * admitted_fraction(table, organisation_name{demand.first});
+      total_admitted += admitted[demand.first];
+    }
+    const double served_fraction = std::min(1.0, real_capacity / total_admitted);
+    std::map<std::string, double> served;
+    for (const std::pair<const std::string, double>& demand : demands) {
+      served[demand.first] = admitted[demand.first] * served_fraction;
+      record_asked_tokens(table, organisation_name{demand.first}, demand.second, now);
+      record_served_tokens(table, organisation_name{demand.first}, served[demand.first], now);
+    }
+    update_fair_share(table, stated_capacity, rounds_per_cycle, now);
+    return served;
+  };
+  std::map<std::string, double> served;
+  for (int number = 0; number < 12; ++number) {
+    served = play_window(number);
+  }
+  SUBCASE("no organisation that asks for more than it gets gets less than half of the best") {
+    for (const std::pair<const std::string, double>& demand : demands) {
+      CHECK(served[demand.first] * 2 >= std::min(demand.second, served["flood"]));
+    }
+  }
+  SUBCASE("the flood gets at most the max-min share of the real capacity and the growth margin") {
+    const double level =
+        max_min_fair_share({120'000, 18'000, 12'000, 2'000},
+                           admission_growth_factor(rounds_per_cycle) * real_capacity);
+    CHECK(served["flood"] <= level);
+  }
+  SUBCASE("the engines' real capacity is used") {
+    double total = 0;
+    for (const std::pair<const std::string, double>& organisation : served) {
+      total += organisation.second;
+    }
+    CHECK(total >= 0.99 * real_capacity);
+  }
+  SUBCASE("positions against the level: the flood is at it, others below") {
+    CHECK(level_position(table, organisation_name{"flood"}) > 0.7);
+    CHECK(level_position(table, organisation_name{"large"}) <= 1);
+  }
+  SUBCASE("organisations that ask for less than the level are admitted whole") {
+    CHECK(admitted_fraction(table, organisation_name{"small"}) == 1);
+    CHECK(admitted_fraction(table, organisation_name{"unknown"}) == 1);
+  }
+  SUBCASE("an organisation that got far less than the level is admitted, whatever it asked for") {
+    // Failure: the router through which an organisation entered could read few of its calls, and
+    // refused half of these by what it had asked for before (ashyq-esik-grown, scale-1).
+    const organisation_name interrupted{"interrupted"};
+    record_asked_tokens(table, interrupted, 100'000, start + window * 11);
+    record_served_tokens(table, interrupted, 500, start + window * 11);
+    update_fair_share(table, stated_capacity, rounds_per_cycle, start + window * 11);
+    CHECK(admitted_fraction(table, interrupted) == 1);
+    CHECK(admitted_fraction(table, organisation_name{"flood"}) < 0.5);
+  }
+  SUBCASE("no organisation is limited while the capacity is unknown") {
+    update_fair_share(table, 0, rounds_per_cycle, start + window * 11);
+    CHECK(admitted_fraction(table, organisation_name{"flood"}) == 1);
+    CHECK(level_position(table, organisation_name{"flood"}) == 0);
+  }
+}
+
+TEST_CASE("an organisation enters through one router or through many: the fraction is the same") {
+  constexpr int router_count = 84;
+  constexpr std::size_t rounds_per_cycle = 6;
+  const organisation_name spread{"spread"};
+  const organisation_name pinned{"pinned"};
+  std::vector<share_table> tables(router_count);
+  for (share_table& table : tables) {
+    record_asked_tokens(table, spread, 50'000.0 / router_count, start);
+    record_served_tokens(table, spread, 8'000.0 / router_count, start);
+  }
+  record_asked_tokens(tables[0], pinned, 50'000, start);
+  record_served_tokens(tables[0], pinned, 8'000, start);
+  for (int from = 0; from < router_count; ++from) {
+    std::map<std::uint64_t, token_usage> reported;
+    for (const std::pair<const organisation_name, token_usage_window>& entry : tables[from].own) {
+      reported[stable_hash(entry.first.value)] = {entry.second.asked_sum, entry.second.served_sum};
+    }
+    for (int to = 0; to < router_count; ++to) {
+      if (to != from) {
+        update_peer_usage(tables[to], router(from).address, reported, start + milliseconds{3'000});
+      }
+    }
+  }
+  for (share_table& table : tables) {
+    update_fair_share(table, 10'000, rounds_per_cycle, start);
+    // 20,000 tokens in the window of 2 s, for two that ask for 50,000 and were served 8,000 each.
+    CHECK(admitted_fraction(table, spread) == doctest::Approx(0.25).epsilon(0.01));
+    CHECK(admitted_fraction(table, spread) ==
+          doctest::Approx(admitted_fraction(tables[0], pinned)).epsilon(0.01));
+  }
+}
+
 TEST_CASE("calls that would miss their latency objective are refused at once") {
   admission_input input{.queue_wait = milliseconds{360},
                         .processing_time = milliseconds{40},
@@ -138,6 +249,27 @@
     CHECK(admitted[0] < admitted[1]);
     CHECK(admitted[1] < admitted[2]);
   }
+  SUBCASE("above its share, an organisation below the admission level may queue longer") {
+    input.share_position = 2;
+    int previous = 0;
+    for (double level_position : {4.0, 1.0, 0.6}) {
+      input.level_position = level_position;
+      int admitted = 0;
+      for (int queue_wait_ms = 0; queue_wait_ms < 600; ++queue_wait_ms) {
+        input.queue_wait = milliseconds{queue_wait_ms};
+        admitted += admit(input).admitted ? 1 : 0;
+      }
+      CHECK(admitted > previous);
+      previous = admitted;
+    }
+    SUBCASE("but not as long as one below its share") {
+      input.level_position = 0.01;
+      input.queue_wait = milliseconds{300};
+      CHECK_FALSE(admit(input).admitted);
+      input.share_position = 0.9;
+      CHECK(admit(input).admitted);
+    }
+  }
   SUBCASE("fallback engine, below its share: admitted only up to a short queue wait") {
     input.is_fallback = true;
     input.queue_wait = milliseconds{15};
--- a/experiment/fleet_model.cc
+++ b/experiment/fleet_model.cc
@@ -272,6 +272,8 @@
                 .time_left = call.arrived_at + kind.caller_timeout - state.now,
                 .share_position = share_position(state.routers[call.router_index].shares,
                                                  organisation_name_of(call.organisation_index)),
+                .level_position = level_position(state.routers[call.router_index].shares,
+                                                 organisation_name_of(call.organisation_index)),
                 .jitter = jitter,
                 .is_fallback = is_fallback});
 }
@@ -282,15 +284,17 @@
          decide_admission(state, call, choice, is_fallback, 0).admitted;
 }
 
-// A refused call is retried after retry_after, until it has been sent max_sends times.
-void refuse_call(simulation_state& state, std::size_t call_index, const placement& choice) {
+double random_fraction(simulation_state& state) {
+  return std::uniform_real_distribution<double>(0, 1)(state.random);
+}
+
+// A refused call is retried after `delay`, until it has been sent max_sends times.
+void refuse_call(simulation_state& state, std::size_t call_index, duration delay) {
   simulated_call& call = state.calls[call_index];
-  const double jitter = std::uniform_real_distribution<double>(0, 1)(state.random);
-  const admission_decision decision = decide_admission(state, call, choice, false, jitter);
   ++call.refusals;
   record_unmet(state.fairness, call.organisation_index, state.now - simulation_start);
   if (call.sends < max_sends) {
-    add_event(state, state.now + decision.retry_after, event_kind::arrival, call_index);
+    add_event(state, state.now + delay, event_kind::arrival, call_index);
   } else {
     call.given_up = true;
   }
@@ -319,6 +323,16 @@
   simulated_router& router = state.routers[call.router_index];
   record_asked_tokens(router.shares, organisation_name_of(call.organisation_index),
                       weighted_tokens(call.call_prompt), state.now);
+  const double fraction =
+      state.policy == routing_policy::peridot
+          ? admitted_fraction(router.shares, organisation_name_of(call.organisation_index))
+          : 1;
+  if (fraction < 1 && random_fraction(state) >= fraction) {
+    const duration time_left = call.arrived_at + kind.caller_timeout - state.now;
+    refuse_call(state, call_index,
+                retry_after(over_level_retry_after, time_left, random_fraction(state)));
+    return;
+  }
   placement choice = place_call(state, call, false);
   if (!is_admitted(state, call, choice, false)) {
     // Tries the engine with the earliest first token as fallback. If that is refused too, the
@@ -326,7 +340,9 @@
     const placement first_choice = choice;
     choice = place_call(state, call, true);
     if (!is_admitted(state, call, choice, true)) {
-      refuse_call(state, call_index, first_choice);
+      refuse_call(
+          state, call_index,
+          decide_admission(state, call, first_choice, false, random_fraction(state)).retry_after);
       return;
     }
   }
@@ -452,7 +468,8 @@
     complete_peer_report(receiver.loads, sender_address, std::move(reported));
     update_peer_usage(receiver.shares, sender_address, reported_tokens, valid_until);
   }
-  update_fair_share(sender.shares, state.scenario->capacity_tokens_per_s, state.now);
+  update_fair_share(sender.shares, state.scenario->capacity_tokens_per_s, rounds_per_cycle(state),
+                    state.now);
   add_event(state, state.now + gossip_interval, event_kind::gossip, router_index);
 }
 
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -162,6 +162,7 @@
                 .latency_objective = call.matched_route->latency_objective,
                 .time_left = call.deadline - now,
                 .share_position = call.share_position,
+                .level_position = call.level_position,
                 .jitter = random_fraction(*call.router),
                 .is_fallback = is_fallback});
 }
@@ -202,16 +203,43 @@
                " aim_ms=" + ms_text(call.matched_route->latency_objective) +
                " unread_ahead=" + std::to_string(static_cast<int>(choice.pending_prefill_tokens)) +
                " kept=" + std::to_string(static_cast<int>(choice.cached_tokens)) +
-               " share_position=" + decimal_text(call.share_position));
+               " share_position=" + decimal_text(call.share_position) +
+               " level_position=" + decimal_text(call.level_position));
   end_with_refusal(call, decision.reason, decision.retry_after);
 }
 
+// Refuses a call at random so that its organisation is served the admission level at most. True
+// if it was refused.
+bool refuse_if_above_level(active_call& call) {
+  router_state& router = *call.router;
+  const double fraction = admitted_fraction(router.shares, call.organisation);
+  if (fraction >= 1 || random_fraction(router) < fraction) {
+    return false;
+  }
+  log_line(log_part::http, log_level::warn,
+           "Call above the admission level. call=" + call.request.id +
+               " caller=" + call.organisation.value + " tokens_in=" +
+               std::to_string(static_cast<int>(call.request.call_prompt->prompt_tokens)) +
+               " admitted_fraction=" + decimal_text(fraction) +
+               " level_position=" + decimal_text(call.level_position) +
+               " share_position=" + decimal_text(call.share_position));
+  end_with_refusal(
+      call, refusal::over_share,
+      retry_after(over_level_retry_after, call.deadline - current_time(), random_fraction(router)));
+  return true;
+}
+
 // Chooses the engine for a new call: the one with the lowest cost. If the wait there is too
 // long, falls back to the engine with the earliest first token, provided that its queue is
 // short. Empty if the call was refused.
 std::optional<placement> place_engine_call_or_refuse(active_call& call, const pool& target_pool,
                                                      const std::vector<candidate>& candidates) {
-  call.share_position = share_position(call.router->shares, call.organisation);
+  const share_table& shares = call.router->shares;
+  call.share_position = share_position(shares, call.organisation);
+  call.level_position = level_position(shares, call.organisation);
+  if (refuse_if_above_level(call)) {
+    return std::nullopt;
+  }
   const placement choice = choose_target(call, target_pool, candidates, false);
   call.predicted_ms = choice.first_token_ms;
   const admission_decision decision = admission_for(call, choice, false);
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -74,6 +74,7 @@
   double predicted_ms = 0;
   // Served tokens of its organisation over its fair share, when an engine was chosen.
   double share_position = 0;
+  double level_position = 0;  // the same over the admission level
   instant response_started_at{};
   instant last_progress_at{};  // newest send or event
   event_ptr deadline_timer;
