Report the busiest organisations to peers first

A gossip message holds 256 organisations, taken in order of their names. A router with callers of more than 256 would leave large ones out, and the fleet would count too little for them.

Change: usage_report() picks those that asked for most. Test: shares_and_members_test.cc with 1,201 organisations; without the sort it fails (the largest isn't in the report).

--- a/core/routing/fair_share.cc
+++ b/core/routing/fair_share.cc
@@ -81,6 +81,29 @@
   window.served_sum += tokens;
 }
 
+std::vector<std::pair<std::uint64_t, token_usage>> usage_report(const share_table& table,
+                                                                std::size_t max_organisations) {
+  using named_window = std::pair<const organisation_name, token_usage_window>;
+  std::vector<const named_window*> busiest;
+  busiest.reserve(table.own.size());
+  for (const named_window& entry : table.own) {
+    busiest.push_back(&entry);
+  }
+  const std::size_t count = std::min(busiest.size(), max_organisations);
+  std::partial_sort(busiest.begin(), busiest.begin() + static_cast<std::ptrdiff_t>(count),
+                    busiest.end(), [](const named_window* left, const named_window* right) {
+                      return left->second.asked_sum > right->second.asked_sum;
+                    });
+  std::vector<std::pair<std::uint64_t, token_usage>> report;
+  report.reserve(count);
+  for (std::size_t index = 0; index < count; ++index) {
+    report.emplace_back(
+        stable_hash(busiest[index]->first.value),
+        token_usage{busiest[index]->second.asked_sum, busiest[index]->second.served_sum});
+  }
+  return report;
+}
+
 void update_peer_usage(share_table& table, const router_address& peer,
                        std::map<std::uint64_t, token_usage> reported, instant valid_until) {
   table.peer_usage[peer] = {valid_until, std::move(reported)};
--- a/core/routing/fair_share.h
+++ b/core/routing/fair_share.h
@@ -75,6 +75,11 @@
 void record_served_tokens(share_table& table, const organisation_name& organisation, double tokens,
                           instant now);
 
+// This router's usage for one report, by hash of the organisation: at most `max_organisations`,
+// those that asked for most tokens.
+std::vector<std::pair<std::uint64_t, token_usage>> usage_report(const share_table& table,
+                                                                std::size_t max_organisations);
+
 // Replaces the peer's last report.
 void update_peer_usage(share_table& table, const router_address& peer,
                        std::map<std::uint64_t, token_usage> reported, instant valid_until);
--- a/core/testing/shares_and_members_test.cc
+++ b/core/testing/shares_and_members_test.cc
@@ -96,6 +96,26 @@
   }
 }
 
+// Guards against a report that leaves out the organisations with the most usage: their totals
+// would be too low at all peers.
+TEST_CASE("a usage report holds the busiest organisations") {
+  share_table table;
+  for (int number = 0; number < 1'200; ++number) {
+    record_asked_tokens(table, organisation_name{"org-" + std::to_string(number)}, 100 + number,
+                        start);
+  }
+  record_asked_tokens(table, organisation_name{"z-large"}, 50'000, start);
+  record_served_tokens(table, organisation_name{"z-large"}, 20'000, start);
+  const std::vector<std::pair<std::uint64_t, token_usage>> report = usage_report(table, 256);
+  REQUIRE(report.size() == 256);
+  CHECK(report[0].first == stable_hash("z-large"));
+  CHECK(report[0].second.asked == 50'000);
+  CHECK(report[0].second.served == 20'000);
+  CHECK(std::all_of(report.begin(), report.end(),
+                    [](const auto& entry) { return entry.second.asked >= 100 + 1'200 - 255; }));
+  CHECK(usage_report(table, 10'000).size() == 1'201);
+}
+
 // Guards against incident inc1: above the fair share, what an organisation got grew with what it
 // sent, and others got less than half of it.
 TEST_CASE("the admission level shares what the engines serve beyond the stated capacity") {
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -63,14 +63,12 @@
 }
 
 void add_organisation_usage(const router_state& router, wire::gossip& gossip) {
-  for (const std::pair<const organisation_name, token_usage_window>& entry : router.shares.own) {
-    if (gossip.organisations_size() >= static_cast<int>(max_reported_organisations)) {
-      return;
-    }
+  for (const std::pair<std::uint64_t, token_usage>& entry :
+       usage_report(router.shares, max_reported_organisations)) {
     wire::organisation_use& usage = *gossip.add_organisations();
-    usage.set_organisation(stable_hash(entry.first.value));
-    usage.set_asked_tokens(static_cast<std::uint32_t>(std::max(0.0, entry.second.asked_sum)));
-    usage.set_served_tokens(static_cast<std::uint32_t>(std::max(0.0, entry.second.served_sum)));
+    usage.set_organisation(entry.first);
+    usage.set_asked_tokens(static_cast<std::uint32_t>(std::max(0.0, entry.second.asked)));
+    usage.set_served_tokens(static_cast<std::uint32_t>(std::max(0.0, entry.second.served)));
   }
 }
 
