--- a/core/routing/fair_share.cc
+++ b/core/routing/fair_share.cc
@@ -166,8 +166,8 @@
   if (level <= 0 || found == table.totals.end() || found->second.asked <= level) {
     return 1;
   }
-  // Asked tokens divided by what keeps the organisation at the level. Where less is served than
-  // was admitted, or calls arrive in bursts, the correction admits more.
+  // Less is served than was admitted where calls are refused for the engines' queues, and where
+  // calls arrive in bursts, since the asked tokens count the last burst.
   const double correction =
       std::clamp(found->second.served / level, min_level_correction, max_level_correction);
   return std::min(1.0, level / (found->second.asked * correction));
--- a/core/routing/fair_share.h
+++ b/core/routing/fair_share.h
@@ -101,8 +101,9 @@
 // level); 0 if the level limits no organisation.
 double level_position(const share_table& table, const organisation_name& organisation);
 
-// The fraction of its calls to admit, so that the organisation is served the admission level at
-// most. 1 if it asks for less or if the level limits no organisation.
+// The fraction of its calls to admit, so that the organisation is served about the admission
+// level: the level over the asked tokens, more if it was served less than the level and less if
+// it was served more. 1 if it asks for less or if the level limits no organisation.
 double admitted_fraction(const share_table& table, const organisation_name& organisation);
 
 // The largest share such that the sum of min(asked, share) stays within the capacity;
