--- a/core/testing/placement_test.cc
+++ b/core/testing/placement_test.cc
@@ -328,12 +328,11 @@
   const auto send_all = [&](double sample_fraction) {
     calls_by_engine.clear();
     for (int router = 0; router < router_count; ++router) {
-      load_table table = reports;
       const prompt call_prompt = make_prompt(random(), 30, 2'000);
       engine_call call = make_engine_call(call_prompt);
       call.sample_fraction = sample_fraction;
       call.sample_seed = random();
-      ++calls_by_engine[choose_engine(table, candidates, call).chosen->name.value];
+      ++calls_by_engine[choose_engine(reports, candidates, call).chosen->name.value];
     }
   };
   SUBCASE("among all engines, nearly every router chooses the same one") {
--- a/experiment/fleet_model.cc
+++ b/experiment/fleet_model.cc
@@ -429,8 +429,8 @@
     }
   }
   const std::size_t count = std::min(router.pending_peers.size(), max_peers_per_round);
-  const std::vector<std::size_t> peers(
-      router.pending_peers.end() - static_cast<std::ptrdiff_t>(count), router.pending_peers.end());
+  std::vector<std::size_t> peers(router.pending_peers.end() - static_cast<std::ptrdiff_t>(count),
+                                 router.pending_peers.end());
   router.pending_peers.resize(router.pending_peers.size() - count);
   return peers;
 }
