--- a/experiment/fleet_model.cc
+++ b/experiment/fleet_model.cc
@@ -306,7 +306,8 @@
     return state.random() % state.routers.size();
   }
   // Organisations enter at different routers.
-  const std::size_t first = call.organisation_index * 7;
+  constexpr std::size_t first_router_stride = 7;
+  const std::size_t first = call.organisation_index * first_router_stride;
   return (first + state.random() % static_cast<std::size_t>(entry_routers)) % state.routers.size();
 }
 
--- a/experiment/fleet_model.h
+++ b/experiment/fleet_model.h
@@ -3,8 +3,8 @@
 //
 // The simulated routers call the same functions as the router process (core/routing) and
 // exchange their load and token usage by gossip, in rounds of 200 ms and cycles that reach each
-// peer once, like the router's. Not modelled: network
-// delays, CPU time of the routers, failures, calls without a prompt.
+// peer once, like the router's. Not modelled: network delays, CPU time of the routers, failures,
+// calls without a prompt.
 //
 //   simulation_result result = simulate(scenario, routing_policy::peridot, seed);
 //
@@ -43,7 +43,6 @@
   double busiest_to_mean_prefill = 0;  // prefilled tokens of the busiest engine over the mean
   double worst_organisation_worth_fraction = 0;  // lowest of those with 30 calls or more
   double worst_kind_worth_fraction = 0;          // likewise, of the kinds of calls
-  double worst_fairness_ratio = 0;               // see experiment/fairness.h
   double largest_tenth_served_fraction = 0;  // of the largest tenth of prompts of the first kind
   fairness_log usage;                        // by organisation and second
 };
