Log the admission level with the fair share

docs/OPERATIONS.md says that the line Demand exceeds capacity gives it; the line did not. Found by reading the diff. No decision is changed; serve.sh passes.

--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -165,7 +165,8 @@
                     });
   std::string text =
       "Demand exceeds capacity. reports=" + std::to_string(shares.peer_usage.size()) +
-      " fair_share=" + tokens_text(shares.fair_share_per_window);
+      " fair_share=" + tokens_text(shares.fair_share_per_window) +
+      " admission_level=" + tokens_text(shares.admission_level_per_window);
   for (std::size_t index = 0; index < count; ++index) {
     const named_usage& usage = most_served[index];
     text += " " + usage.first.value + "=" + tokens_text(usage.second.served) + "/" +
