One copy of the selection of the largest, the gossip cycle's length and the default retry delay

Reading the diff found three partial sorts that pick the busiest organisations (usage report, metrics page, log line), the rounds and the report validity of a gossip cycle both in membership and in the simulation, and two constants of 300 ms for refusals without a predicted wait. keep_first(), gossip_rounds_per_cycle(), report_ttl_for() and default_retry_after are the one copy of each.

--- a/core/fleet/membership.cc
+++ b/core/fleet/membership.cc
@@ -21,14 +21,20 @@
 
 void start_cycle(membership_table& table, instant now) {
   table.pending_peers = live_peers(table, now);
-  table.rounds_per_cycle = std::max<std::size_t>(
-      1, (table.pending_peers.size() + max_peers_per_round - 1) / max_peers_per_round);
-  const duration cycle_duration = table.interval * table.rounds_per_cycle;
-  table.report_ttl = std::max<duration>(min_report_ttl, scaled(cycle_duration, report_ttl_cycles));
+  table.rounds_per_cycle = gossip_rounds_per_cycle(table.pending_peers.size());
+  table.report_ttl = report_ttl_for(table.interval, table.rounds_per_cycle);
 }
 
 }  // namespace
 
+std::size_t gossip_rounds_per_cycle(std::size_t live_peers) {
+  return std::max<std::size_t>(1, (live_peers + max_peers_per_round - 1) / max_peers_per_round);
+}
+
+duration report_ttl_for(duration interval, std::size_t rounds_per_cycle) {
+  return std::max<duration>(min_report_ttl, scaled(interval * rounds_per_cycle, report_ttl_cycles));
+}
+
 membership_table make_membership(const router_identity& self,
                                  const std::vector<router_address>& seeds, duration interval,
                                  instant now) {
--- a/core/fleet/membership.h
+++ b/core/fleet/membership.h
@@ -64,6 +64,12 @@
   bool starts_cycle = false;
 };
 
+// Rounds of a gossip cycle that reaches this number of live peers, at least 1.
+std::size_t gossip_rounds_per_cycle(std::size_t live_peers);
+
+// How long a report stays valid when a cycle takes that many rounds, `interval` apart.
+duration report_ttl_for(duration interval, std::size_t rounds_per_cycle);
+
 membership_table make_membership(const router_identity& self,
                                  const std::vector<router_address>& seeds, duration interval,
                                  instant now);
--- a/core/routing/admission.h
+++ b/core/routing/admission.h
@@ -45,7 +45,7 @@
 // Fraction of the time left within which the first token has to arrive.
 inline constexpr double usable_time_fraction = 0.85;
 inline constexpr milliseconds min_retry_after{120};
-inline constexpr milliseconds over_level_retry_after{300};  // of a call above the admission level
+inline constexpr milliseconds default_retry_after{300};  // of a refusal without a predicted wait
 // Fraction of the time left; the platform's bound is a third.
 inline constexpr double max_retry_after_fraction = 0.32;
 
--- a/core/routing/fair_share.cc
+++ b/core/routing/fair_share.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "core/base/keep_first.h"
 #include "core/base/stable_hash.h"
 
 namespace peridot {
@@ -89,17 +90,14 @@
   for (const named_window& entry : table.own) {
     busiest.push_back(&entry);
   }
-  const std::size_t count = std::min(busiest.size(), max_organisations);
-  std::partial_sort(busiest.begin(), busiest.begin() + static_cast<std::ptrdiff_t>(count),
-                    busiest.end(), [](const named_window* left, const named_window* right) {
-                      return left->second.asked_sum > right->second.asked_sum;
-                    });
+  keep_first(busiest, max_organisations, [](const named_window* left, const named_window* right) {
+    return left->second.asked_sum > right->second.asked_sum;
+  });
   std::vector<std::pair<std::uint64_t, token_usage>> report;
-  report.reserve(count);
-  for (std::size_t index = 0; index < count; ++index) {
-    report.emplace_back(
-        stable_hash(busiest[index]->first.value),
-        token_usage{busiest[index]->second.asked_sum, busiest[index]->second.served_sum});
+  report.reserve(busiest.size());
+  for (const named_window* entry : busiest) {
+    report.emplace_back(stable_hash(entry->first.value),
+                        token_usage{entry->second.asked_sum, entry->second.served_sum});
   }
   return report;
 }
--- a/experiment/fleet_model.cc
+++ b/experiment/fleet_model.cc
@@ -220,8 +220,7 @@
 }
 
 std::size_t rounds_per_cycle(const simulation_state& state) {
-  return std::max<std::size_t>(
-      1, (state.routers.size() - 1 + max_peers_per_round - 1) / max_peers_per_round);
+  return gossip_rounds_per_cycle(state.routers.size() - 1);
 }
 
 placement place_call(simulation_state& state, simulated_call& call, bool earliest_first_token) {
@@ -331,7 +330,7 @@
   if (fraction < 1 && random_fraction(state) >= fraction) {
     const duration time_left = call.arrived_at + kind.caller_timeout - state.now;
     refuse_call(state, call_index,
-                retry_after(over_level_retry_after, time_left, random_fraction(state)));
+                retry_after(default_retry_after, time_left, random_fraction(state)));
     return;
   }
   placement choice = place_call(state, call, false);
@@ -441,10 +440,7 @@
 void on_gossip(simulation_state& state, std::size_t router_index) {
   simulated_router& sender = state.routers[router_index];
   const router_address sender_address{std::to_string(router_index)};
-  const instant valid_until =
-      state.now +
-      std::max<duration>(min_report_ttl,
-                         scaled(gossip_interval * rounds_per_cycle(state), report_ttl_cycles));
+  const instant valid_until = state.now + report_ttl_for(gossip_interval, rounds_per_cycle(state));
   const std::vector<std::size_t> peers = next_round_peers(state, router_index);
   std::map<std::uint64_t, token_usage> reported_tokens;
   for (const std::pair<const organisation_name, token_usage_window>& entry : sender.shares.own) {
--- a/net/metrics.cc
+++ b/net/metrics.cc
@@ -1,8 +1,9 @@
 #include "net/metrics.h"
 
-#include <algorithm>
 #include <sstream>
 
+#include "core/base/keep_first.h"
+
 namespace peridot {
 namespace {
 
@@ -45,13 +46,10 @@
   for (const named_organisation& entry : values.organisations) {
     busiest.push_back(&entry);
   }
-  const std::size_t count = std::min(busiest.size(), max_exposed_organisations);
-  std::partial_sort(busiest.begin(), busiest.begin() + static_cast<std::ptrdiff_t>(count),
-                    busiest.end(),
-                    [](const named_organisation* left, const named_organisation* right) {
-                      return left->second.asked_tokens > right->second.asked_tokens;
-                    });
-  busiest.resize(count);
+  keep_first(busiest, max_exposed_organisations,
+             [](const named_organisation* left, const named_organisation* right) {
+               return left->second.asked_tokens > right->second.asked_tokens;
+             });
   write_tokens(out, "peridot_organisation_asked_tokens_total",
                "Weighted tokens of calls that arrived, of the busiest organisations.", busiest,
                &organisation_counters::asked_tokens);
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -11,7 +11,6 @@
 namespace peridot {
 namespace {
 
-constexpr milliseconds default_retry_after{300};  // if no wait was predicted
 // With less time left, no response can arrive before the deadline.
 constexpr milliseconds min_time_left_to_send{8};
 // A call ends once more than this number of its connection attempts have failed.
@@ -225,7 +224,7 @@
                " share_position=" + decimal_text(call.share_position));
   end_with_refusal(
       call, refusal::over_share,
-      retry_after(over_level_retry_after, call.deadline - current_time(), random_fraction(router)));
+      retry_after(default_retry_after, call.deadline - current_time(), random_fraction(router)));
   return true;
 }
 
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -1,11 +1,11 @@
 #include "router/router_process.h"
 
-#include <algorithm>
 #include <csignal>
 #include <random>
 #include <utility>
 
 #include "core/base/ip_endpoint.h"
+#include "core/base/keep_first.h"
 #include "core/base/stable_hash.h"
 #include "core/base/version.h"
 #include "net/log.h"
@@ -158,17 +158,15 @@
       most_served.emplace_back(entry.first, total->second);
     }
   }
-  const std::size_t count = std::min(most_served.size(), max_logged_organisations);
-  std::partial_sort(most_served.begin(), most_served.begin() + static_cast<std::ptrdiff_t>(count),
-                    most_served.end(), [](const named_usage& left, const named_usage& right) {
-                      return left.second.served > right.second.served;
-                    });
+  keep_first(most_served, max_logged_organisations,
+             [](const named_usage& left, const named_usage& right) {
+               return left.second.served > right.second.served;
+             });
   std::string text =
       "Demand exceeds capacity. reports=" + std::to_string(shares.peer_usage.size()) +
       " fair_share=" + tokens_text(shares.fair_share_per_window) +
       " admission_level=" + tokens_text(shares.admission_level_per_window);
-  for (std::size_t index = 0; index < count; ++index) {
-    const named_usage& usage = most_served[index];
+  for (const named_usage& usage : most_served) {
     text += " " + usage.first.value + "=" + tokens_text(usage.second.served) + "/" +
             tokens_text(usage.second.asked);
   }
