Log and count how targets frame and end their responses

'Call ended' now has framing and unfinished_bytes, and peridot_target_responses_total{framing,end} counts the ends. No logic changes.

--- a/net/http_message.cc
+++ b/net/http_message.cc
@@ -336,6 +336,20 @@
   return "";
 }
 
+const char* to_text(body_framing framing) {
+  switch (framing) {
+    case body_framing::none:
+      return "none";
+    case body_framing::length:
+      return "length";
+    case body_framing::chunked:
+      return "chunked";
+    case body_framing::until_close:
+      return "until_close";
+  }
+  return "none";
+}
+
 std::string_view reason_phrase(int status) {
   switch (status) {
     case 200:
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -59,6 +59,9 @@
 enum class message_kind { request, response };
 enum class body_framing { none, length, chunked, until_close };
 
+// Stable names; logs and metrics contain them.
+const char* to_text(body_framing framing);
+
 struct message_head {
   std::string method;          // of a request
   std::string request_target;  // of a request: path and query as received
--- a/net/metrics.cc
+++ b/net/metrics.cc
@@ -77,6 +77,10 @@
   ++values.ended_calls[{outcome, reason}];
 }
 
+void record_target_response(metrics& values, const std::string& framing, const std::string& end) {
+  ++values.target_responses[{framing, end}];
+}
+
 std::string to_exposition(const metrics& values, const std::vector<scalar_metric>& scalars) {
   std::ostringstream out;
   write_counter_header(out, "peridot_answered_total", "Calls answered whole.");
@@ -88,6 +92,13 @@
     out << "peridot_calls_ended_total{outcome=\"" << entry.first.first << "\",reason=\""
         << entry.first.second << "\"} " << entry.second << "\n";
   }
+  write_counter_header(out, "peridot_target_responses_total",
+                       "Responses of targets, by framing and by how they ended.");
+  for (const std::pair<const std::pair<std::string, std::string>, std::uint64_t>& entry :
+       values.target_responses) {
+    out << "peridot_target_responses_total{framing=\"" << entry.first.first << "\",end=\""
+        << entry.first.second << "\"} " << entry.second << "\n";
+  }
   write_organisations(out, values);
   write_counter_header(out, "peridot_retried_total", "Runs that were tried again.");
   out << "peridot_retried_total " << values.retries << "\n";
--- a/net/metrics.h
+++ b/net/metrics.h
@@ -53,6 +53,8 @@
   std::uint64_t answered_calls = 0;       // with a complete response
   // By outcome and reason.
   std::map<std::pair<std::string, std::string>, std::uint64_t> ended_calls;
+  // Of targets, by framing of the body and by how the response ended.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> target_responses;
   // By name. Bounded by the number of organisations in all configurations of the process's life.
   std::map<std::string, organisation_counters> organisations;
   std::uint64_t retries = 0;
@@ -64,6 +66,9 @@
 // Counts a call that has ended.
 void record_outcome(metrics& values, const std::string& outcome, const std::string& reason);
 
+// Counts a response of a target that has ended.
+void record_target_response(metrics& values, const std::string& framing, const std::string& end);
+
 // A gauge or counter whose value is read when the metrics are requested.
 struct scalar_metric {
   std::string name;
--- a/router/call_end.cc
+++ b/router/call_end.cc
@@ -55,7 +55,8 @@
           " route=" + call.matched_route->name.value + " caller=" + call.organisation.value +
           " target=" + (call.attempted_targets.empty() ? "" : call.attempted_targets.back().value) +
           " sends=" + std::to_string(call.sends) +
-          " events=" + std::to_string(call.events_forwarded) +
+          " events=" + std::to_string(call.events_forwarded) + " framing=" + call.response_framing +
+          " unfinished_bytes=" + std::to_string(call.unfinished_event_bytes) +
           " predicted_ms=" + std::to_string(static_cast<int>(call.predicted_ms)) + " first_ms=" +
           (call.response_started_at == instant{}
                ? "-"
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -286,6 +286,30 @@
   }
 }
 
+// How the response of an attempt ended, for metrics: as its framing says (complete, or
+// inside_event if a stream stopped within an event), because the connection or the parser failed
+// (interrupted), or because this router ended the attempt (abandoned).
+const char* response_end_text(const target_attempt& attempt) {
+  if (attempt.target_call->connection != nullptr) {
+    return "abandoned";
+  }
+  if (!attempt.target_call->problem.empty()) {
+    return "interrupted";
+  }
+  return pending_bytes(attempt.splitter) > 0 ? "inside_event" : "complete";
+}
+
+// Notes framing and end of the attempt's response for the log line of the call, and counts it.
+void record_response_end(active_call& call, const target_attempt& attempt) {
+  if (attempt.response_head.status == 0) {
+    return;  // no response
+  }
+  call.response_framing = to_text(attempt.response_head.framing);
+  call.unfinished_event_bytes = pending_bytes(attempt.splitter);
+  record_target_response(call.router->call_metrics, call.response_framing,
+                         response_end_text(attempt));
+}
+
 }  // namespace
 
 bool peers_accept_calls(const router_state& router, instant now) {
@@ -330,6 +354,7 @@
   call.reading_paused = false;
   const instant now = current_time();
   record_call_ended(router.loads, ended->target, ended->added_load);
+  record_response_end(call, *ended);
   cancel_call(*ended->target_call);
   if (ended->ignore_result) {
     return;
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -77,6 +77,9 @@
   double level_position = 0;  // the same over the admission level
   instant response_started_at{};
   instant last_progress_at{};  // newest send or event
+  // Of the newest response of a target; for logs.
+  std::string response_framing = "-";      // "-": no response head has arrived
+  std::size_t unfinished_event_bytes = 0;  // received of an event whose end did not arrive
   event_ptr deadline_timer;
   event_ptr inactivity_timer;
   bool reading_paused = false;
