--- a/net/testing/raw_peers.h
+++ b/net/testing/raw_peers.h
@@ -140,6 +140,7 @@
 struct raw_caller {
   std::string received;
   bool closed = false;
+  bool reset = false;  // closed by a reset
   bufferevent* connection = nullptr;
   ~raw_caller() {
     bufferevent_free(connection);
@@ -157,6 +158,7 @@
   if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
     on_caller_read(connection, argument);
     static_cast<raw_caller*>(argument)->closed = true;
+    static_cast<raw_caller*>(argument)->reset = (events & BEV_EVENT_ERROR) != 0;
   }
 }
 
--- /dev/null
+++ b/router/testing/response_end_test.cc
@@ -0,0 +1,69 @@
+// How the end of a target's response reaches the caller.
+#include <string>
+
+#include "router/testing/router_fixture.h"
+
+using namespace peridot;
+using namespace peridot::testing;
+
+namespace {
+
+const std::string stream_head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+const std::string first_events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const std::string cut_event = "id: 3\nda";
+
+std::string chunk(const std::string& data) {
+  char size[20];
+  std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+  return size + data + "\r\n";
+}
+
+}  // namespace
+
+TEST_CASE("a whole stream reaches the caller whole") {
+  router_fixture fixture;
+  start(fixture, 1);
+  SUBCASE("with a length") {
+    fixture.targets.script = {{stream_head + "Content-Length: " +
+                               std::to_string(first_events.size()) + "\r\n\r\n" + first_events}};
+  }
+  SUBCASE("in chunks") {
+    fixture.targets.script = {
+        {stream_head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(first_events) + "0\r\n\r\n"}};
+  }
+  SUBCASE("up to the close of its connection") {
+    fixture.targets.script = {{stream_head + "\r\n" + first_events, connection_end::closed}};
+  }
+  const caller_view view = call(fixture, "/stream/");
+  CHECK(view.status == 200);
+  CHECK(view.complete);
+  CHECK(view.body == first_events);
+  CHECK(fixture.router.call_metrics.answered_calls == 1);
+}
+
+// Guards against incident inc1 of ashyq-esik: a stream that its target broke off within an event
+// was passed on with a last chunk, as if it were complete.
+TEST_CASE("a stream that ends within an event is never passed on as complete") {
+  router_fixture fixture;
+  start(fixture, 1);
+  SUBCASE("the response has neither length nor chunks; the target closes the connection") {
+    fixture.targets.script = {
+        {stream_head + "\r\n" + first_events + cut_event, connection_end::closed}};
+  }
+  SUBCASE("the response has neither length nor chunks; the target resets the connection") {
+    fixture.targets.script = {
+        {stream_head + "\r\n" + first_events + cut_event, connection_end::reset}};
+  }
+  SUBCASE("the target sends its last chunk within the event") {
+    fixture.targets.script = {{stream_head + "Transfer-Encoding: chunked\r\n\r\n" +
+                                   chunk(first_events + cut_event) + "0\r\n\r\n",
+                               connection_end::left_open}};
+  }
+  const caller_view view = call(fixture, "/stream/");
+  CHECK(view.status == 200);
+  CHECK_FALSE(view.complete);
+  CHECK(view.body == first_events);
+  CHECK(ended_calls(fixture, "failed", "target_lost") == 1);
+  CHECK(fixture.router.call_metrics.answered_calls == 0);
+  CHECK(fixture.router.call_metrics.aborted_responses == 1);
+}
