A stream that ends within an event has been broken off, whatever its framing says

Cause: the router asked only the framing of a target's response whether it is complete. A response without length and chunks is complete by its framing when its connection closes, also when the target dies, and finish_stream() passed the cut event on and added the last chunk. Class of fault: the end of a transport taken for the end of a message.

Ruled out by the reproduction: a reset taken for a close (its subcase passed before).

Now a stream is complete if its framing says so and it does not stop within an event; otherwise the attempt has failed: a resumable stream goes on at another target where a retry is allowed, the others end as interrupted, the target's health counts it, and logs and metrics say failed. Empty lines and comments after the last event belong to no event and are passed on. Lines may end with CR alone, so that such streams stay whole too.

--- a/core/calls/event_stream.cc
+++ b/core/calls/event_stream.cc
@@ -1,22 +1,32 @@
 #include "core/calls/event_stream.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace peridot {
 namespace {
 
+constexpr std::string_view line_end_characters = "\r\n";
+
+// Length of the line end at `at`: 2 for CRLF, otherwise 1. Precondition: a line end is there.
+std::size_t line_end_length(std::string_view text, std::size_t at) {
+  return text.substr(at).starts_with("\r\n") ? 2 : 1;
+}
+
 // Length of the first whole event, including the empty line at its end; 0 if there is none.
-// Looks for line ends from `search_from` on.
+// Looks for line ends from `search_from` on. A CR at the end of the text does not end an event
+// yet: an LF that belongs to it may follow.
 std::size_t first_event_length(std::string_view text, std::size_t search_from) {
-  for (std::size_t line_end = text.find('\n', search_from); line_end != std::string_view::npos;
-       line_end = text.find('\n', line_end + 1)) {
-    const std::string_view remaining = text.substr(line_end + 1);
-    if (remaining.starts_with("\n")) {
-      return line_end + 2;
-    }
-    if (remaining.starts_with("\r\n")) {
-      return line_end + 3;
+  std::size_t at = text.find_first_of(line_end_characters, search_from);
+  while (at != std::string_view::npos) {
+    const std::size_t next = at + line_end_length(text, at);
+    const bool next_line_is_empty =
+        next < text.size() && (text[next] == '\n' || text[next] == '\r');
+    if (next_line_is_empty) {
+      const bool may_be_half_line_end = text[next] == '\r' && next + 1 == text.size();
+      return may_be_half_line_end ? 0 : next + line_end_length(text, next);
     }
+    at = text.find_first_of(line_end_characters, next);
   }
   return 0;
 }
@@ -25,7 +35,9 @@
 
 bool feed_events(event_splitter& splitter, std::string_view data, const event_handler& on_event) {
   // The empty line may be split between the pending bytes and the new ones.
-  std::size_t search_from = splitter.pending.size() < 3 ? 0 : splitter.pending.size() - 3;
+  constexpr std::size_t max_split_bytes = 3;  // CR LF CR
+  std::size_t search_from =
+      splitter.pending.size() - std::min(splitter.pending.size(), max_split_bytes);
   splitter.pending.append(data);
   std::size_t begin = 0;
   while (true) {
@@ -47,10 +59,28 @@
   return splitter.pending.size();
 }
 
+bool ends_within_event(const event_splitter& splitter) {
+  const std::string_view pending = splitter.pending;
+  // The CR of the event's last, empty line waits for a possible LF.
+  if (pending.ends_with("\r\r") || pending.ends_with("\n\r")) {
+    return false;
+  }
+  std::size_t begin = 0;
+  while (begin < pending.size()) {
+    const std::size_t end =
+        std::min(pending.find_first_of(line_end_characters, begin), pending.size());
+    if (end > begin && pending[begin] != ':') {
+      return true;
+    }
+    begin = end + 1;
+  }
+  return false;
+}
+
 std::optional<std::uint64_t> event_id(std::string_view event) {
   std::size_t begin = 0;
   while (begin < event.size()) {
-    const std::size_t end = event.find('\n', begin);
+    const std::size_t end = event.find_first_of(line_end_characters, begin);
     std::string_view line = event.substr(begin, end - begin);
     if (line.starts_with("id:")) {
       line.remove_prefix(3);
--- a/core/calls/event_stream.h
+++ b/core/calls/event_stream.h
@@ -4,10 +4,10 @@
 // incomplete event is never passed on:
 //
 //   feed_events(splitter, data, [](std::string_view event, std::optional<std::uint64_t> id) {});
-//   pending_bytes(splitter) != 0   // at the end: the stream broke off within an event
+//   ends_within_event(splitter)   // at the end: true if the stream was broken off
 //
-// An event ends at an empty line. Memory: max_event_bytes plus the data of one call.
-// Thread safety: none; for use from one event loop.
+// An event ends at an empty line; lines end with CRLF, LF or CR. Memory: max_event_bytes plus the
+// data of one call. Thread safety: none; for use from one event loop.
 #pragma once
 
 #include <cstdint>
@@ -30,8 +30,13 @@
 // False if the incomplete event at the end of the data is longer than max_event_bytes.
 bool feed_events(event_splitter& splitter, std::string_view data, const event_handler& on_event);
 
+// Bytes after the last whole event.
 std::size_t pending_bytes(const event_splitter& splitter);
 
+// True if the data ends within an event. Empty lines and comments after the last event are not
+// an event.
+bool ends_within_event(const event_splitter& splitter);
+
 // The value of the event's first "id" field; unset if there is none or it does not start
 // with a number.
 std::optional<std::uint64_t> event_id(std::string_view event);
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -206,15 +206,12 @@
   pause_reading_if_caller_slow(call);
 }
 
-// Completes the caller's stream after the target has ended its own without an error.
+// Completes the caller's stream after the target has completed its own.
 void finish_stream(active_call& call) {
-  target_attempt& current = *call.current_attempt;
   if (!call.response_started) {
     start_caller_response(call, std::nullopt);
   }
-  if (pending_bytes(current.splitter) > 0) {
-    send_response_data(*call.exchange, current.splitter.pending);
-  }
+  send_response_data(*call.exchange, call.current_attempt->splitter.pending);
   end_attempt(call, call_result::success);
   finish_response(*call.exchange);
   end_answered(call, 200);
@@ -238,14 +235,14 @@
 }
 
 // The attempt failed after the call may have been sent: the connection broke or timed out, or
-// the response was invalid.
-void on_failed_after_send(active_call& call) {
+// the response was invalid or incomplete.
+void on_failed_after_send(active_call& call, const std::string& cause) {
   call.may_have_run = true;
   log_line(log_part::target, log_level::warn,
            "Call failed after it may have been sent to the target. call=" + call.request.id +
-               " target=" + call.current_attempt->target.value + " cause=\"" +
-               call.current_attempt->target_call->problem +
-               "\" events=" + std::to_string(call.events_forwarded));
+               " target=" + call.current_attempt->target.value + " cause=\"" + cause +
+               "\" framing=" + to_text(call.current_attempt->response_head.framing) +
+               " events=" + std::to_string(call.events_forwarded));
   record_interrupted_call(call);
   const bool forwarding_unbuffered = call.current_attempt->forwarding_unbuffered;
   end_attempt(call, call_result::incomplete_response);
@@ -277,15 +274,17 @@
       on_target_unreachable(call);
       return;
     case client_call_result::failed_after_send:
-      on_failed_after_send(call);
+      on_failed_after_send(call, call.current_attempt->target_call->problem);
       return;
     case client_call_result::complete:
       break;
   }
-  if (call.current_attempt->is_stream) {
-    finish_stream(call);
-  } else {
+  if (!call.current_attempt->is_stream) {
     finish_non_streaming_response(call);
+  } else if (ends_within_event(call.current_attempt->splitter)) {
+    on_failed_after_send(call, "stream ended within an event");
+  } else {
+    finish_stream(call);
   }
 }
 
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -296,7 +296,7 @@
   if (!attempt.target_call->problem.empty()) {
     return "interrupted";
   }
-  return pending_bytes(attempt.splitter) > 0 ? "inside_event" : "complete";
+  return ends_within_event(attempt.splitter) ? "inside_event" : "complete";
 }
 
 // Notes framing and end of the attempt's response for the log line of the call, and counts it.
