A stream without length and chunks that ends before its first event is not complete

A target that dies after the head of such a response closes its connection in the same way as one that is done; the caller got 200 and an empty stream as if it were whole. Now the attempt has failed: 502, or another target where the stream may be resumed.

The test failed before: 200 and an empty body in both subcases.

--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -206,6 +206,15 @@
   pause_reading_if_caller_slow(call);
 }
 
+// True if the stream stops before its end although the framing of the response says that it is
+// complete. Without length and chunks the close of the connection is no proof: it also closes
+// when the target dies.
+bool stream_is_cut(const target_attempt& attempt) {
+  return ends_within_event(attempt.splitter) ||
+         (attempt.response_head.framing == body_framing::until_close &&
+          !attempt.first_event_forwarded);
+}
+
 // Completes the caller's stream after the target has completed its own.
 void finish_stream(active_call& call) {
   if (!call.response_started) {
@@ -281,8 +290,8 @@
   }
   if (!call.current_attempt->is_stream) {
     finish_non_streaming_response(call);
-  } else if (ends_within_event(call.current_attempt->splitter)) {
-    on_failed_after_send(call, "stream ended within an event");
+  } else if (stream_is_cut(*call.current_attempt)) {
+    on_failed_after_send(call, "stream ended within an event or before its first");
   } else {
     finish_stream(call);
   }
--- a/router/testing/response_end_test.cc
+++ b/router/testing/response_end_test.cc
@@ -67,3 +67,25 @@
   CHECK(fixture.router.call_metrics.answered_calls == 0);
   CHECK(fixture.router.call_metrics.aborted_responses == 1);
 }
+
+// Guards against a target that dies after the head of a response without length and chunks: the
+// caller got an empty stream as if it were complete.
+TEST_CASE("a stream that ends with its connection before its first event is not complete") {
+  router_fixture fixture;
+  start(fixture, 2);
+  fixture.targets.script = {{stream_head + "\r\n", connection_end::closed},
+                            {stream_head + "\r\n" + first_events, connection_end::closed}};
+  SUBCASE("it fails") {
+    const caller_view view = call(fixture, "/stream/");
+    CHECK(view.status == 502);
+    CHECK(view.complete);
+    CHECK(ended_calls(fixture, "failed", "target_lost") == 1);
+  }
+  SUBCASE("it is retried if it may be resumed") {
+    const caller_view view = call(fixture, "/resumable/");
+    CHECK(view.status == 200);
+    CHECK(view.complete);
+    CHECK(view.body == first_events);
+    CHECK(fixture.targets.requests.size() == 2);
+  }
+}
