Reset the connection of an HTTP/1.0 caller whose response is interrupted

A response to HTTP/1.0 without a known length ends with its connection. abort_response() closed it in an orderly way, as a whole response ends, so that the caller took the interrupted one for complete; so did the time-out of a caller that does not read. Now close_connection() resets the connection unless the whole body has been written.

The test failed before: the interrupted stream was complete and not reset.

--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -36,8 +36,20 @@
   connection.body_bytes = 0;
 }
 
+// Makes the close of the socket a reset. Discards what is still to be sent.
+void reset_on_close(http_connection& connection) {
+  const linger no_lingering{1, 0};
+  setsockopt(bufferevent_getfd(connection.stream), SOL_SOCKET, SO_LINGER, &no_lingering,
+             sizeof(no_lingering));
+}
+
 // Closes and frees the connection. Calls on_disconnect of an exchange in progress.
 void close_connection(http_connection& connection) {
+  // An orderly close would make an incomplete body look complete. Once the connection is
+  // lingering, the whole body has been written.
+  if (connection.body_ends_with_connection && !connection.lingering) {
+    reset_on_close(connection);
+  }
   std::shared_ptr<http_exchange> exchange = std::move(connection.exchange);
   release_body(connection);
   bufferevent_free(connection.stream);
@@ -409,6 +421,7 @@
     framing_header = "Transfer-Encoding: chunked\r\n";
   } else if (!no_body) {
     connection.close_after_response = true;  // HTTP/1.0 has no chunks: the close ends the body
+    connection.body_ends_with_connection = true;
   }
   append_head(connection, status, headers, framing_header);
 }
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -9,7 +9,8 @@
 //   }
 //   start_response(...); send_response_data(...); finish_response(...);   // in parts
 //   abort_response(...);   // a response that cannot be completed: the connection is
-//                          // closed before the last chunk or the announced length
+//                          // closed before the last chunk or the announced length, or reset
+//                          // if the response has neither
 //
 // A connection has one request in progress at a time; pipelined requests wait in the
 // input buffer and the socket. Invalid or late input gets a response with status 400,
@@ -81,11 +82,12 @@
   std::string remote_address;
   instant first_byte_at{};
   instant idle_since{};
-  bool receiving_request = false;     // a request has started to arrive
-  bool close_after_response = false;  // after the current response
-  bool lingering = false;             // sending side is shut down; input is discarded
-  std::string pending_output;         // head and body bytes that flush_output() writes next
-  std::size_t body_bytes = 0;         // counted against max_body_total
+  bool receiving_request = false;          // a request has started to arrive
+  bool close_after_response = false;       // after the current response
+  bool body_ends_with_connection = false;  // the current response has neither length nor chunks
+  bool lingering = false;                  // sending side is shut down; input is discarded
+  std::string pending_output;              // head and body bytes that flush_output() writes next
+  std::size_t body_bytes = 0;              // counted against max_body_total
 };
 
 struct http_listener {
--- a/router/testing/response_end_test.cc
+++ b/router/testing/response_end_test.cc
@@ -89,3 +89,25 @@
     CHECK(fixture.targets.requests.size() == 2);
   }
 }
+
+// Guards against an interrupted response to an HTTP/1.0 caller, which has no chunks: closing the
+// connection in an orderly way made it look complete.
+TEST_CASE("an interrupted response without length and chunks ends with a reset") {
+  router_fixture fixture;
+  start(fixture, 1);
+  fixture.targets.script = {
+      {stream_head + "\r\n" + first_events + cut_event, connection_end::closed}};
+  SUBCASE("the target has broken off its stream") {
+    const caller_view view = call(fixture, "/stream/", "HTTP/1.0");
+    CHECK(view.status == 200);
+    CHECK_FALSE(view.complete);
+    CHECK(view.reset);
+  }
+  SUBCASE("a whole stream still ends with an orderly close") {
+    fixture.targets.script = {{stream_head + "\r\n" + first_events, connection_end::closed}};
+    const caller_view view = call(fixture, "/stream/", "HTTP/1.0");
+    CHECK(view.complete);
+    CHECK_FALSE(view.reset);
+    CHECK(view.body == first_events);
+  }
+}
