Do not resume a stream whose newest event carries no id

The second run starts at the last id that the caller has, or at the beginning if there is none: its caller got events without id twice. Such a stream now ends as interrupted. Comments between events, such as heartbeats, do not matter.

The test failed before: two requests to targets, and the event twice.

--- a/core/calls/event_stream.cc
+++ b/core/calls/event_stream.cc
@@ -59,17 +59,11 @@
   return splitter.pending.size();
 }
 
-bool ends_within_event(const event_splitter& splitter) {
-  const std::string_view pending = splitter.pending;
-  // The CR of the event's last, empty line waits for a possible LF.
-  if (pending.ends_with("\r\r") || pending.ends_with("\n\r")) {
-    return false;
-  }
+bool has_field(std::string_view text) {
   std::size_t begin = 0;
-  while (begin < pending.size()) {
-    const std::size_t end =
-        std::min(pending.find_first_of(line_end_characters, begin), pending.size());
-    if (end > begin && pending[begin] != ':') {
+  while (begin < text.size()) {
+    const std::size_t end = std::min(text.find_first_of(line_end_characters, begin), text.size());
+    if (end > begin && text[begin] != ':') {
       return true;
     }
     begin = end + 1;
@@ -77,6 +71,13 @@
   return false;
 }
 
+bool ends_within_event(const event_splitter& splitter) {
+  const std::string_view pending = splitter.pending;
+  // The CR of the event's last, empty line waits for a possible LF.
+  const bool last_event_is_whole = pending.ends_with("\r\r") || pending.ends_with("\n\r");
+  return !last_event_is_whole && has_field(pending);
+}
+
 std::optional<std::uint64_t> event_id(std::string_view event) {
   std::size_t begin = 0;
   while (begin < event.size()) {
--- a/core/calls/event_stream.h
+++ b/core/calls/event_stream.h
@@ -33,6 +33,9 @@
 // Bytes after the last whole event.
 std::size_t pending_bytes(const event_splitter& splitter);
 
+// True if `text` has a line that is neither empty nor a comment.
+bool has_field(std::string_view text);
+
 // True if the data ends within an event. Empty lines and comments after the last event are not
 // an event.
 bool ends_within_event(const event_splitter& splitter);
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -37,6 +37,12 @@
          content_type.substr(0, content_type.find(';')) == "text/event-stream";
 }
 
+// True if another target may go on with the call where the response of the current attempt stops.
+bool can_continue_elsewhere(const active_call& call) {
+  return is_retryable(*call.matched_route) && !call.current_attempt->forwarding_unbuffered &&
+         !call.newest_event_has_no_id;
+}
+
 duration inactivity_timeout(const active_call& call) {
   if (call.current_attempt->first_event_forwarded) {
     const milliseconds max_event_gap = call.matched_route->max_event_gap > milliseconds{0}
@@ -120,6 +126,9 @@
   if (id.has_value()) {
     call.last_event_id = id;
   }
+  if (has_field(event)) {  // not only a comment
+    call.newest_event_has_no_id = !id.has_value();
+  }
   if (call.inactivity_timer != nullptr) {
     restart_inactivity_timer(call);
   }
@@ -253,9 +262,9 @@
                "\" framing=" + to_text(call.current_attempt->response_head.framing) +
                " events=" + std::to_string(call.events_forwarded));
   record_interrupted_call(call);
-  const bool forwarding_unbuffered = call.current_attempt->forwarding_unbuffered;
+  const bool may_retry = can_continue_elsewhere(call);
   end_attempt(call, call_result::incomplete_response);
-  if (!forwarding_unbuffered && is_retryable(*call.matched_route) && try_acquire_retry(call)) {
+  if (may_retry && try_acquire_retry(call)) {
     place_call(call);
   } else if (call.response_started) {
     end_with_aborted_response(call, refusal::target_lost);
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -70,6 +70,8 @@
   bool response_started = false;               // bytes of the response were sent to the caller
   std::optional<std::uint64_t> last_event_id;  // of the newest event that the caller has
   int events_forwarded = 0;
+  // The newest event that the caller has carries no id: a second run could not continue after it.
+  bool newest_event_has_no_id = false;
   // Predicted time to the first token (plain targets: wait for a slot) at the target chosen last.
   double predicted_ms = 0;
   // Served tokens of its organisation over its fair share, when an engine was chosen.
--- a/router/testing/response_end_test.cc
+++ b/router/testing/response_end_test.cc
@@ -111,3 +111,27 @@
     CHECK(view.body == first_events);
   }
 }
+
+// Guards against a second run whose events cannot be told from those that the caller has.
+TEST_CASE("a stream whose last event has no id is not resumed") {
+  router_fixture fixture;
+  start(fixture, 2);
+  const std::string event_without_id = "data: x\n\n";
+  SUBCASE("its caller has the events and is told that the stream is interrupted") {
+    fixture.targets.script = {{stream_head + "\r\n" + event_without_id, connection_end::reset},
+                              {stream_head + "\r\n" + event_without_id, connection_end::closed}};
+    const caller_view view = call(fixture, "/resumable/");
+    CHECK_FALSE(view.complete);
+    CHECK(view.body == event_without_id);
+    CHECK(fixture.targets.requests.size() == 1);
+  }
+  SUBCASE("a comment after the last event does not matter") {
+    fixture.targets.script = {
+        {stream_head + "\r\n" + first_events + ": alive\n\n", connection_end::reset},
+        {stream_head + "\r\nid: 3\ndata: c\n\n", connection_end::closed}};
+    const caller_view view = call(fixture, "/resumable/");
+    CHECK(view.complete);
+    CHECK(view.body == first_events + ": alive\n\nid: 3\ndata: c\n\n");
+    CHECK(fixture.targets.requests.size() == 2);
+  }
+}
