Recognize an event stream by its media type, whatever its case and parameters

A stream with the type Text/Event-Stream, or with a space before its parameters, was buffered whole as a plain response: late for its caller, and passed on as complete when it ended within an event.

The test failed before, for two of three spellings.

--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -33,8 +33,9 @@
 
 bool is_event_stream(const active_call& call, const message_head& head) {
   const std::string_view content_type = find_header(head.headers, "Content-Type");
+  const std::string_view media_type = trim(content_type.substr(0, content_type.find(';')));
   return call.matched_route->kind == call_kind::streaming && head.status == 200 &&
-         content_type.substr(0, content_type.find(';')) == "text/event-stream";
+         equal_ignoring_case(media_type, "text/event-stream");
 }
 
 // True if another target may go on with the call where the response of the current attempt stops.
--- a/router/testing/response_end_test.cc
+++ b/router/testing/response_end_test.cc
@@ -135,3 +135,21 @@
     CHECK(fixture.targets.requests.size() == 2);
   }
 }
+
+// Guards against a stream that is not recognized: it was buffered as a plain response, and its
+// events were not checked.
+TEST_CASE("a stream is recognized by its media type, whatever its case and parameters") {
+  router_fixture fixture;
+  start(fixture, 1);
+  for (const std::string type :
+       {"Text/Event-Stream", "text/event-stream ;charset=utf-8", "text/event-stream; a=b"}) {
+    CAPTURE(type);
+    fixture.targets.requests.clear();
+    fixture.targets.script = {
+        {"HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\n\r\n" + first_events + cut_event,
+         connection_end::closed}};
+    const caller_view view = call(fixture, "/stream/");
+    CHECK_FALSE(view.complete);
+    CHECK(view.body == first_events);
+  }
+}
