Do not retry a stalled response of which the caller already has a part

A plain response longer than the buffer limit is forwarded as it arrives. When it stalled, the call was sent to another target, whose response could only be dropped: the caller lost the rest of the first one, which may still come, and a retry was spent. Now the router waits for it up to the call's deadline, as it did for a broken connection.

The test failed before: two requests to targets.

--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -68,7 +68,8 @@
 // incomplete): retries the call at another target if a retry is allowed.
 void on_inactivity_timeout(evutil_socket_t, short, void* argument) {
   active_call& call = *static_cast<active_call*>(argument);
-  if (call.current_attempt == nullptr || call.reading_paused || !try_acquire_retry(call)) {
+  if (call.current_attempt == nullptr || call.reading_paused || !can_continue_elsewhere(call) ||
+      !try_acquire_retry(call)) {
     return;  // the call keeps waiting, up to its deadline
   }
   log_line(log_part::target, log_level::warn,
--- a/router/testing/response_end_test.cc
+++ b/router/testing/response_end_test.cc
@@ -153,3 +153,20 @@
     CHECK(view.body == first_events);
   }
 }
+
+// Guards against a retry that cannot help: a part of the response is with the caller already.
+TEST_CASE("a long plain response that stalls is not sent to another target") {
+  router_fixture fixture;
+  start(fixture, 2);
+  const std::string body(300 << 10, 'x');  // more than is buffered before it is forwarded
+  fixture.targets.script = {
+      {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size() + 1) + "\r\n\r\n" + body,
+       connection_end::left_open},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}};
+  const caller_view view = call(fixture, "/idempotent/");
+  CHECK(view.status == 200);
+  CHECK_FALSE(view.complete);
+  CHECK(view.body == body);
+  CHECK(fixture.targets.requests.size() == 1);
+  CHECK(ended_calls(fixture, "failed", "deadline") == 1);
+}
