--- a/router/testing/router_fixture.h
+++ b/router/testing/router_fixture.h
@@ -21,8 +21,10 @@
 
 namespace peridot::testing {
 
-// Of each route. The shortest inactivity timeout of a stream, 400 ms, is well below.
-inline constexpr milliseconds route_timeout{700};
+// Of routes with retries: the shortest inactivity timeout, 400 ms, is well below.
+inline constexpr milliseconds retryable_route_timeout{700};
+// Of the others, which wait for a silent target until then.
+inline constexpr milliseconds single_run_route_timeout{150};
 
 struct router_fixture {
   router_state router;  // owns the event loop, which the targets need until their end
@@ -44,7 +46,8 @@
   result.host = "app.example";
   result.path_prefix = path;
   result.kind = kind;
-  result.timeout = route_timeout;
+  result.timeout = kind == call_kind::idempotent || resumable ? retryable_route_timeout
+                                                              : single_run_route_timeout;
   result.latency_objective = milliseconds{50};
   result.max_event_gap = milliseconds{100};
   result.pools = {{pool_name{"targets"}, 1}};
