--- a/standins/platform_standin.cc
+++ b/standins/platform_standin.cc
@@ -17,7 +17,13 @@
 constexpr milliseconds plain_response_time{15};
 constexpr std::size_t max_items_per_page = 50;
 
-const std::vector<http_header> json_headers = {{"Content-Type", "application/json"}};
+// Sends a response of the store. All of them carry its era.
+void send_store_response(const platform_standin& platform, http_exchange& exchange, int status,
+                         const std::string& body) {
+  send_response(exchange, status,
+                {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(platform.era)}},
+                body);
+}
 
 json item_to_json(const std::string& key, const stored_item& item) {
   if (item.removed) {
@@ -57,7 +63,7 @@
 void respond_to_watch(platform_standin& platform, pending_watch& watch) {
   const json response = {{"events", events_after(platform, watch.prefix, watch.after_revision)},
                          {"as_of", platform.revision}};
-  send_response(*watch.exchange, 200, json_headers, response.dump());
+  send_store_response(platform, *watch.exchange, 200, response.dump());
 }
 
 // Responds to the watches that have events now, and drops those whose caller disconnected.
@@ -99,6 +105,10 @@
       decode_percent_encoding(query_value(exchange->head.request_target, "path_prefix"));
   watch->after_revision =
       std::strtoull(query_value(exchange->head.request_target, "after").c_str(), nullptr, 10);
+  if (watch->after_revision > platform.revision) {
+    send_store_response(platform, *exchange, 410, "");
+    return;
+  }
   if (!events_after(platform, watch->prefix, watch->after_revision).empty()) {
     respond_to_watch(platform, *watch);
     return;
@@ -131,7 +141,7 @@
     items.push_back(item_to_json(item.first, item.second));
   }
   const json document = {{"items", items}, {"has_more", has_more}, {"as_of", platform.revision}};
-  send_response(*exchange, 200, json_headers, document.dump());
+  send_store_response(platform, *exchange, 200, document.dump());
 }
 
 std::string ledger_text(const platform_standin& platform) {
@@ -163,6 +173,10 @@
                     : mode == "busy"  ? store_mode::busy
                     : mode == "reset" ? store_mode::reset
                                       : store_mode::ok;
+  } else if (path == "/admin/copy") {
+    copy_store(platform);
+  } else if (path == "/admin/restore") {
+    restore_store(platform);
   } else if (path == "/admin/target") {
     const std::string id = query_value(request_target, "id");
     for (const std::unique_ptr<target_standin>& target : platform.targets) {
@@ -193,7 +207,7 @@
     case store_mode::silent:
       return;  // the exchange stays open until the caller times out
     case store_mode::busy:
-      send_response(*exchange, 503, {}, "");
+      send_store_response(platform, *exchange, 503, "");
       return;
     case store_mode::reset:
       abort_response(*exchange);
@@ -206,7 +220,7 @@
   } else if (path == "/v1/kv-range") {
     serve_range(platform, *exchange, exchange);
   } else {
-    send_response(*exchange, 404, {}, "");
+    send_store_response(platform, *exchange, 404, "");
   }
 }
 
@@ -354,6 +368,20 @@
   }
 }
 
+void copy_store(platform_standin& platform) {
+  platform.copy = {platform.items, platform.revision};
+}
+
+void restore_store(platform_standin& platform) {
+  platform.items = platform.copy.items;
+  platform.revision = platform.copy.revision;
+  ++platform.era;
+  for (const std::unique_ptr<pending_watch>& watch : platform.pending_watches) {
+    abort_response(*watch->exchange);  // a waiting watch is cut
+  }
+  platform.pending_watches.clear();
+}
+
 std::string sample_config(std::uint64_t version) {
   const json engine = {{"slots", 64}, {"kv_capacity", 250'000}};
   const json document = {{"version", version},
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -9,6 +9,10 @@
 //   PUT    /admin/item?key=K   sets an item to the request body
 //   DELETE /admin/item?key=K   removes the item
 //   POST   /admin/store?mode=M ok, silent (no response), busy (503) or reset (connection closed)
+//   POST   /admin/copy         copies the store's items and revision
+//   POST   /admin/restore      the store comes back from that copy: later revisions are lost and
+//                              given out again, and Store-Era, in all responses, rises by one. A
+//                              watch from a revision that the store does not have gets 410.
 //   GET    /admin/ledger       "runs=N repeated_ids=N", then a line for each id that ran more
 //                              than once; `runs` counts distinct ids
 //   POST   /admin/target?id=I&mode=M  ok, fail (500), shed (503, not run) or break (connection
@@ -37,6 +41,12 @@
 enum class store_mode { ok, silent, busy, reset };
 enum class target_mode { ok, fail, shed, break_connection };
 
+// What the store holds, at one moment.
+struct store_copy {
+  std::map<std::string, stored_item> items;
+  std::uint64_t revision = 1;
+};
+
 struct platform_standin;
 
 struct target_standin {
@@ -64,6 +74,8 @@
   std::unique_ptr<http_listener> store_listener;
   std::map<std::string, stored_item> items;
   std::uint64_t revision = 1;
+  std::uint64_t era = 1;  // how often the store came back from a copy, plus 1
+  store_copy copy;
   store_mode mode = store_mode::ok;  // of the store
   std::vector<std::unique_ptr<pending_watch>> pending_watches;
   std::vector<std::unique_ptr<target_standin>> targets;
@@ -86,6 +98,10 @@
 void set_item(platform_standin& platform, const std::string& key, const std::string& value);
 void remove_item(platform_standin& platform, const std::string& key);
 
+// Copies the store, and replaces it by the copy.
+void copy_store(platform_standin& platform);
+void restore_store(platform_standin& platform);
+
 // The configuration that start_platform() publishes, as version `version`.
 std::string sample_config(std::uint64_t version);
 
