Follow a store that comes back from an older copy

The store may come back from a copy some seconds old; it then loses what it has acknowledged since and gives its revisions out again.

Revisions now have an epoch, which the store tells in a header of each response, and compare within one epoch; one of a later epoch is newer. Routers tell each other the epoch with their revisions.

Not covered: a router that starts after the copy was restored and reads only the copy believes it until its entries are written again or expire.

--- a/core/fleet/config_and_targets.cc
+++ b/core/fleet/config_and_targets.cc
@@ -81,10 +81,10 @@
 void on_target_entry(target_table& table, const fleet_config* config, const target_entry& entry,
                      instant now) {
   target_state& target = table.targets[entry.name];
-  if (target.entry.revision >= entry.revision && target.entry.revision != 0) {
+  const bool known = target.entry.revision != store_revision{};
+  if (known && target.entry.revision >= entry.revision) {
     return;
   }
-  const bool known = target.entry.revision != 0;
   const bool restarted =
       known && (entry.started_unix_ms != target.entry.started_unix_ms ||
                 entry.sequence < target.entry.sequence || entry.address != target.entry.address);
@@ -158,6 +158,10 @@
   }
 }
 
+std::string to_text(const store_revision& revision) {
+  return std::to_string(revision.epoch) + ":" + std::to_string(revision.number);
+}
+
 bool is_usable(const target_table& table, const target_state& target) {
   return !target.leaving && !table.evacuated.contains(target.entry.domain);
 }
--- a/core/fleet/config_and_targets.h
+++ b/core/fleet/config_and_targets.h
@@ -12,6 +12,7 @@
 // has none and is for use from one event loop.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -109,6 +110,18 @@
 // Null if there is no pool of this name.
 const pool* find_pool(const fleet_config& config, const pool_name& name);
 
+// A revision of the platform's store. When the store comes back from an older copy, it starts a
+// new epoch and gives revision numbers out again, so that numbers compare within one epoch only.
+struct store_revision {
+  std::uint64_t epoch = 0;
+  std::uint64_t number = 0;  // 0: none
+
+  friend std::strong_ordering operator<=>(const store_revision&, const store_revision&) = default;
+};
+
+// "EPOCH:NUMBER", for logs.
+std::string to_text(const store_revision& revision);
+
 // The platform's description of one target.
 struct target_entry {
   target_name name;
@@ -120,7 +133,7 @@
   milliseconds cold_remaining{0};
   std::uint64_t sequence = 0;        // increases with each order that this incarnation accepted
   std::int64_t started_unix_ms = 0;  // 0: not set
-  std::uint64_t revision = 0;        // store revision of the entry
+  store_revision revision;           // of the entry
 };
 
 // A target and the state that decides whether and how it may be used.
--- a/core/testing/config_and_targets_test.cc
+++ b/core/testing/config_and_targets_test.cc
@@ -36,7 +36,7 @@
   entry.address = "10.0.0.1:80";
   entry.domain = failure_domain_name{"zone-a"};
   entry.sequence = 5;
-  entry.revision = revision;
+  entry.revision = {1, revision};
   return entry;
 }
 
@@ -77,7 +77,7 @@
   SUBCASE("an entry with an older revision is ignored") {
     on_target_entry(table, config.get(), make_entry(1), now);
     CHECK(target.leaving);
-    CHECK(target.entry.revision == 2);
+    CHECK(target.entry.revision == store_revision{1, 2});
   }
   SUBCASE("a restarted target of the same name is usable and cold") {
     target_entry restarted = make_entry(4);
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -397,9 +397,8 @@
           " unread_ahead=" + std::to_string(static_cast<int>(choice.pending_prefill_tokens)) +
           " kept=" + std::to_string(static_cast<int>(choice.cached_tokens)) +
           " running=" + std::to_string(choice.running_calls) +
-          " share_position=" + decimal_text(call.share_position) +
-          " level_position=" + decimal_text(call.level_position) +
-          " target_revision=" + std::to_string(target.entry.revision) +
+          " share_position=" + decimal_text(call.share_position) + " level_position=" +
+          decimal_text(call.level_position) + " target_revision=" + to_text(target.entry.revision) +
           " config=" + std::to_string(call.config->version));
   const std::uint64_t exchange_id = call.exchange_id;
   call_handlers handlers;
--- a/router/control_pages.cc
+++ b/router/control_pages.cc
@@ -80,7 +80,7 @@
          " read_rate=" +
          std::to_string(has_load ? estimated_prefill_tokens_per_ms(router.loads, load->second)
                                  : 0) +
-         " revision=" + std::to_string(target.entry.revision) + "\n";
+         " revision=" + to_text(target.entry.revision) + "\n";
 }
 
 std::string status_text(const router_state& router) {
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -111,8 +111,10 @@
 void request_items_if_behind(router_state& router, const router_address& peer,
                              const wire::gossip& gossip, instant now) {
   const platform::store_state& store = router.store;
-  const bool behind = gossip.operator_revision() > store.newest_operator_revision ||
-                      gossip.target_revision() > store.newest_target_revision;
+  const store_revision operator_revision{gossip.store_epoch(), gossip.operator_revision()};
+  const store_revision target_revision{gossip.store_epoch(), gossip.target_revision()};
+  const bool behind = operator_revision > store.newest_operator_revision ||
+                      target_revision > store.newest_target_revision;
   if (!behind) {
     router.peer_ahead_since.erase(peer);
     return;
@@ -132,8 +134,10 @@
   router.peer_ahead_since[peer] = now;
   outgoing_message message;
   message.to = peer;
-  message.message.mutable_items_request()->set_after_revision(
-      std::min(store.newest_operator_revision, store.newest_target_revision));
+  const store_revision known =
+      std::min(store.newest_operator_revision, store.newest_target_revision);
+  message.message.mutable_items_request()->set_after_revision(known.number);
+  message.message.mutable_items_request()->set_after_epoch(known.epoch);
   send_message(*router.peer_mesh, message);
 }
 
@@ -188,16 +192,18 @@
 void on_items_request(router_state& router, const router_identity& from,
                       const wire::items_request& request) {
   bool complete = false;
-  const std::vector<platform::store_item> items =
-      platform::items_after(router.store, request.after_revision(), complete);
+  const std::vector<platform::store_item> items = platform::items_after(
+      router.store, {request.after_epoch(), request.after_revision()}, complete);
   complete = complete && router.store.loaded_prefixes.contains(platform::operator_prefix) &&
              router.store.loaded_prefixes.contains(platform::target_prefix);
   outgoing_message message;
   message.to = from.address;
   message.to_incarnation = from.incarnation;
   wire::items_reply& reply = *message.message.mutable_items_reply();
-  reply.set_as_of(
-      std::min(router.store.newest_operator_revision, router.store.newest_target_revision));
+  const store_revision as_of =
+      std::min(router.store.newest_operator_revision, router.store.newest_target_revision);
+  reply.set_as_of(as_of.number);
+  reply.set_as_of_epoch(as_of.epoch);
   reply.set_store_disturbed(
       platform::was_unavailable_within(router.store, router.settings.store_touch, current_time()));
   reply.set_complete(complete);
@@ -205,7 +211,8 @@
     wire::stored_item& stored_item = *reply.add_items();
     stored_item.set_key(item.key);
     stored_item.set_value(item.value);
-    stored_item.set_revision(item.revision);
+    stored_item.set_revision(item.revision.number);
+    stored_item.set_epoch(item.revision.epoch);
     stored_item.set_removed(item.removed);
   }
   send_message(*router.peer_mesh, message);
@@ -217,21 +224,21 @@
   const platform::item_source source = reply.store_disturbed()
                                            ? platform::item_source::peer_without_store
                                            : platform::item_source::peer;
+  const store_revision as_of{reply.as_of_epoch(), reply.as_of()};
   std::vector<platform::store_item> items;
   std::set<std::string> present_keys;
   for (const wire::stored_item& item : reply.items()) {
-    items.push_back({item.key(), item.value(), item.revision(), item.removed()});
+    items.push_back({item.key(), item.value(), {item.epoch(), item.revision()}, item.removed()});
     present_keys.insert(item.key());
   }
   log_line(log_part::config, log_level::info,
-           "Items from a peer. peer=" + from.address.value + " items=" +
-               std::to_string(items.size()) + " as_of=" + std::to_string(reply.as_of()) +
+           "Items from a peer. peer=" + from.address.value +
+               " items=" + std::to_string(items.size()) + " as_of=" + to_text(as_of) +
                " complete=" + (reply.complete() ? "1" : "0"));
   platform::apply_items(router.store, items, source, now);
   if (reply.complete()) {
     for (const char* prefix : {platform::operator_prefix, platform::target_prefix}) {
-      platform::remove_missing_items(router.store, prefix, present_keys, reply.as_of(), source,
-                                     now);
+      platform::remove_missing_items(router.store, prefix, present_keys, as_of, source, now);
     }
   }
   if (router.store_client.on_change) {
@@ -267,8 +274,12 @@
   gossip.set_leaving(router.stopping);
   gossip.set_store_disturbed(router.store.unavailable);
   gossip.set_overloaded(router.overload.shedding);
-  gossip.set_operator_revision(router.store.newest_operator_revision);
-  gossip.set_target_revision(router.store.newest_target_revision);
+  const store_revision& operator_revision = router.store.newest_operator_revision;
+  const store_revision& target_revision = router.store.newest_target_revision;
+  const std::uint64_t epoch = std::max(operator_revision.epoch, target_revision.epoch);
+  gossip.set_store_epoch(epoch);
+  gossip.set_operator_revision(operator_revision.epoch == epoch ? operator_revision.number : 0);
+  gossip.set_target_revision(target_revision.epoch == epoch ? target_revision.number : 0);
   const gossip_round round = next_gossip_round(router.membership, now);
   if (round.starts_cycle) {
     rotate_prefill_reports(router.loads);
--- a/scripts/process_tests/store_restored.sh
+++ b/scripts/process_tests/store_restored.sh
@@ -60,6 +60,7 @@
 put_store_item op/config "$(config 6 /order/)"
 put_store_item servers/i-2 "$(entry 2 engines zone-a ready | sed 's/"born":1700000000000/"born":1700000009000/')"
 put_store_item op/evacuate/zone-b '{}'
+put_store_item servers/i-3 "$(entry 3 engines zone-a draining)"  # leaves i-2 as the only engine
 sleep 2
 for n in 1 2 3; do
   [ "$(booking_status $n order)" = 200 ] || fail "router $n does not serve version 6, which was written after the store was restored"
