End a stopped router at once, without the static destructors of libraries

Cause: a static destructor of log4cplus waits for the library's four idle threads, which this process never uses. On loopback it returns at once, so that no process test could see it. Ruled out: ZeroMQ (its context ends in 7 ms).

main() now ends the process with _Exit(); the log is written and all sockets are closed before.

--- a/router/router_process.h
+++ b/router/router_process.h
@@ -17,7 +17,8 @@
 namespace peridot {
 
 // Runs until the shutdown after SIGTERM has finished. Returns the exit status: 0 if all calls
-// had ended, 1 if calls were still active or a required socket could not be opened.
+// had ended, 1 if calls were still active or a required socket could not be opened. The log has
+// been written by then.
 int run_router(const router_settings& settings, const std::string& settings_path);
 
 }  // namespace peridot
--- a/tools/peridot_router_main.cc
+++ b/tools/peridot_router_main.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "core/base/end_process.h"
 #include "core/settings/settings.h"
 #include "router/router_process.h"
 
@@ -42,5 +43,5 @@
   if (!loaded.errors.empty()) {
     return exit_usage;
   }
-  return peridot::run_router(loaded.settings, path);
+  peridot::end_process(peridot::run_router(loaded.settings, path));
 }
