Pass on the last event of a stream whose lines end with CR

The splitter waits for an LF that may follow the last CR. At the end of the data the waiting event is now passed on, with its id, before the stream is judged.

The test failed before (502).

--- a/core/calls/event_stream.cc
+++ b/core/calls/event_stream.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace peridot {
 namespace {
@@ -71,11 +72,17 @@
   return false;
 }
 
+void finish_events(event_splitter& splitter, const event_handler& on_event) {
+  const std::string last = std::exchange(splitter.pending, {});
+  if (last.ends_with("\r\r") || last.ends_with("\n\r")) {
+    on_event(last, event_id(last));
+  } else {
+    splitter.pending = last;
+  }
+}
+
 bool ends_within_event(const event_splitter& splitter) {
-  const std::string_view pending = splitter.pending;
-  // The CR of the event's last, empty line waits for a possible LF.
-  const bool last_event_is_whole = pending.ends_with("\r\r") || pending.ends_with("\n\r");
-  return !last_event_is_whole && has_field(pending);
+  return has_field(splitter.pending);
 }
 
 std::optional<std::uint64_t> event_id(std::string_view event) {
--- a/core/calls/event_stream.h
+++ b/core/calls/event_stream.h
@@ -4,7 +4,8 @@
 // incomplete event is never passed on:
 //
 //   feed_events(splitter, data, [](std::string_view event, std::optional<std::uint64_t> id) {});
-//   ends_within_event(splitter)   // at the end: true if the stream was broken off
+//   finish_events(splitter, handler);   // at the end of the data
+//   ends_within_event(splitter)         // true if the stream was broken off
 //
 // An event ends at an empty line; lines end with CRLF, LF or CR. Memory: max_event_bytes plus the
 // data of one call. Thread safety: none; for use from one event loop.
@@ -30,6 +31,9 @@
 // False if the incomplete event at the end of the data is longer than max_event_bytes.
 bool feed_events(event_splitter& splitter, std::string_view data, const event_handler& on_event);
 
+// Passes on the last event if it is whole and only waited for an LF that may follow its CR.
+void finish_events(event_splitter& splitter, const event_handler& on_event);
+
 // Bytes after the last whole event.
 std::size_t pending_bytes(const event_splitter& splitter);
 
@@ -37,7 +41,7 @@
 bool has_field(std::string_view text);
 
 // True if the data ends within an event. Empty lines and comments after the last event are not
-// an event.
+// an event. Precondition: finish_events() was called.
 bool ends_within_event(const event_splitter& splitter);
 
 // The value of the event's first "id" field; unset if there is none or it does not start
--- a/core/testing/streams_and_budgets_test.cc
+++ b/core/testing/streams_and_budgets_test.cc
@@ -68,6 +68,17 @@
           std::vector<std::string>{"id: 1\rdata: a\r\r"});
     CHECK(ids == std::vector<std::uint64_t>{1});
     CHECK(pending == 15);
+    SUBCASE("and is passed on at the end of the data") {
+      event_splitter splitter;
+      std::vector<std::uint64_t> all_ids;
+      const event_handler note_id = [&all_ids](std::string_view, std::optional<std::uint64_t> id) {
+        all_ids.push_back(id.value_or(0));
+      };
+      feed_events(splitter, "id: 1\rdata: a\r\rid: 2\rdata: b\r\r", note_id);
+      finish_events(splitter, note_id);
+      CHECK(all_ids == std::vector<std::uint64_t>{1, 2});
+      CHECK(pending_bytes(splitter) == 0);
+    }
   }
   SUBCASE("data cut at any two points gives the same events") {
     const std::string text =
@@ -91,6 +102,7 @@
   const auto ends_within = [](const std::string& data) {
     event_splitter splitter;
     feed_events(splitter, data, [](std::string_view, std::optional<std::uint64_t>) {});
+    finish_events(splitter, [](std::string_view, std::optional<std::uint64_t>) {});
     return ends_within_event(splitter);
   };
   SUBCASE("it is broken off at every point within an event, whatever its line ends") {
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -275,6 +275,19 @@
   }
 }
 
+// The stream is complete by its framing.
+void on_stream_end(active_call& call) {
+  target_attempt& current = *call.current_attempt;
+  finish_events(current.splitter, [&call](std::string_view event, std::optional<std::uint64_t> id) {
+    forward_event(call, event, id);
+  });
+  if (stream_is_cut(current)) {
+    on_failed_after_send(call, "stream ended within an event or before its first");
+  } else {
+    finish_stream(call);
+  }
+}
+
 void on_target_unreachable(active_call& call) {
   router_state& router = *call.router;
   const target_name target = call.current_attempt->target;
@@ -299,12 +312,10 @@
     case client_call_result::complete:
       break;
   }
-  if (!call.current_attempt->is_stream) {
-    finish_non_streaming_response(call);
-  } else if (stream_is_cut(*call.current_attempt)) {
-    on_failed_after_send(call, "stream ended within an event or before its first");
+  if (call.current_attempt->is_stream) {
+    on_stream_end(call);
   } else {
-    finish_stream(call);
+    finish_non_streaming_response(call);
   }
 }
 
--- a/router/testing/response_end_test.cc
+++ b/router/testing/response_end_test.cc
@@ -41,6 +41,19 @@
   CHECK(fixture.router.call_metrics.answered_calls == 1);
 }
 
+// Guards against a stream whose last event, complete with a CR, is still waiting for a possible LF
+// when the connection closes: it must not be taken for one without events.
+TEST_CASE("a whole stream of a single event with CR line ends reaches the caller whole") {
+  router_fixture fixture;
+  start(fixture, 1);
+  const std::string event = "id: 1\rdata: a\r\r";
+  fixture.targets.script = {{stream_head + "\r\n" + event, connection_end::closed}};
+  const caller_view view = call(fixture, "/stream/");
+  CHECK(view.status == 200);
+  CHECK(view.complete);
+  CHECK(view.body == event);
+}
+
 // Guards against incident inc1 of ashyq-esik: a stream that its target broke off within an event
 // was passed on with a last chunk, as if it were complete.
 TEST_CASE("a stream that ends within an event is never passed on as complete") {
--- a/standins/peridot_load_main.cc
+++ b/standins/peridot_load_main.cc
@@ -76,11 +76,12 @@
   peridot::event_splitter splitter;
   std::uint64_t next_event_id = 1;
   bool ordered = true;
-  peridot::feed_events(splitter, call.response_body,
-                       [&](std::string_view, std::optional<std::uint64_t> id) {
-                         ordered = ordered && id == next_event_id;
-                         ++next_event_id;
-                       });
+  const peridot::event_handler check_id = [&](std::string_view, std::optional<std::uint64_t> id) {
+    ordered = ordered && id == next_event_id;
+    ++next_event_id;
+  };
+  peridot::feed_events(splitter, call.response_body, check_id);
+  peridot::finish_events(splitter, check_id);
   return ordered && next_event_id == 11 && !peridot::ends_within_event(splitter);
 }
 
