--- a/core/testing/streams_and_budgets_test.cc
+++ b/core/testing/streams_and_budgets_test.cc
@@ -107,7 +107,8 @@
   };
   SUBCASE("it is broken off at every point within an event, whatever its line ends") {
     for (const std::string line_end : {"\n", "\r\n", "\r"}) {
-      const std::string event = "id: 1" + line_end + "data: a" + line_end;
+      std::string event = "id: 1";
+      event.append(line_end).append("data: a").append(line_end);
       for (std::size_t length = 1; length <= event.size(); ++length) {
         CAPTURE(length);
         CHECK(ends_within(event.substr(0, length)));
--- a/router/testing/response_end_test.cc
+++ b/router/testing/response_end_test.cc
@@ -158,9 +158,9 @@
        {"Text/Event-Stream", "text/event-stream ;charset=utf-8", "text/event-stream; a=b"}) {
     CAPTURE(type);
     fixture.targets.requests.clear();
-    fixture.targets.script = {
-        {"HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\n\r\n" + first_events + cut_event,
-         connection_end::closed}};
+    std::string response = "HTTP/1.1 200 OK\r\nContent-Type: ";
+    response.append(type).append("\r\n\r\n").append(first_events).append(cut_event);
+    fixture.targets.script = {{response, connection_end::closed}};
     const caller_view view = call(fixture, "/stream/");
     CHECK_FALSE(view.complete);
     CHECK(view.body == first_events);
