--- a/standins/platform_standin.cc
+++ b/standins/platform_standin.cc
@@ -14,6 +14,7 @@
 constexpr double prefill_tokens_per_ms = 50;  // of each engine
 constexpr int tokens_per_event = 4;
 constexpr milliseconds event_interval{10};
+constexpr int cut_event = 3;  // in which target_mode::cut_stream ends a stream
 constexpr milliseconds plain_response_time{15};
 constexpr std::size_t max_items_per_page = 50;
 
@@ -184,6 +185,7 @@
         target->mode = mode == "fail"    ? target_mode::fail
                        : mode == "shed"  ? target_mode::shed
                        : mode == "break" ? target_mode::break_connection
+                       : mode == "cut"   ? target_mode::cut_stream
                                          : target_mode::ok;
       }
     }
@@ -242,9 +244,19 @@
     delete stream;  // the caller disconnected
     return;
   }
+  const bool cut = stream->target->mode == target_mode::cut_stream;
   if (!exchange.response_started) {
+    if (cut) {
+      exchange.head.minor_version = 0;  // the response has neither length nor chunks
+    }
     start_response(exchange, 200, stream->headers, std::nullopt);
   }
+  if (cut && stream->next_event >= cut_event) {
+    send_response_data(exchange, "id: " + std::to_string(stream->next_event) + "\ndata: pi");
+    finish_response(exchange);
+    delete stream;
+    return;
+  }
   send_response_data(exchange, "id: " + std::to_string(stream->next_event) + "\ndata: piece " +
                                    std::to_string(stream->next_event) + "\n\n");
   if (++stream->next_event > stream->last_event) {
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -15,8 +15,10 @@
 //                              watch from a revision that the store does not have gets 410.
 //   GET    /admin/ledger       "runs=N repeated_ids=N", then a line for each id that ran more
 //                              than once; `runs` counts distinct ids
-//   POST   /admin/target?id=I&mode=M  ok, fail (500), shed (503, not run) or break (connection
-//                              closed after the run is counted); id "all": every target
+//   POST   /admin/target?id=I&mode=M  ok, fail (500), shed (503, not run), break (connection
+//                              closed after the run is counted) or cut (engines: a stream without
+//                              length and chunks that ends with its connection within its third
+//                              event); id "all": every target
 //
 // Engines prefill prompts one after another at a fixed rate and cache nothing.
 // Thread safety: none; for use from one event loop.
@@ -39,7 +41,7 @@
 };
 
 enum class store_mode { ok, silent, busy, reset };
-enum class target_mode { ok, fail, shed, break_connection };
+enum class target_mode { ok, fail, shed, break_connection, cut_stream };
 
 // What the store holds, at one moment.
 struct store_copy {
