--- a/net/testing/metrics_test.cc
+++ b/net/testing/metrics_test.cc
@@ -48,11 +48,11 @@
 
 TEST_CASE("metrics page: responses of targets by framing and end") {
   metrics values;
-  record_target_response(values, "until_close", "inside_event");
-  record_target_response(values, "until_close", "inside_event");
+  record_target_response(values, "until_close", "cut");
+  record_target_response(values, "until_close", "cut");
   record_target_response(values, "chunked", "complete");
   const std::string page = to_exposition(values, {});
-  CHECK(page.find("peridot_target_responses_total{framing=\"until_close\",end=\"inside_event\"} "
+  CHECK(page.find("peridot_target_responses_total{framing=\"until_close\",end=\"cut\"} "
                   "2\n") != std::string::npos);
   CHECK(page.find("peridot_target_responses_total{framing=\"chunked\",end=\"complete\"} 1\n") !=
         std::string::npos);
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -217,15 +217,6 @@
   pause_reading_if_caller_slow(call);
 }
 
-// True if the stream stops before its end although the framing of the response says that it is
-// complete. Without length and chunks the close of the connection is no proof: it also closes
-// when the target dies.
-bool stream_is_cut(const target_attempt& attempt) {
-  return ends_within_event(attempt.splitter) ||
-         (attempt.response_head.framing == body_framing::until_close &&
-          !attempt.first_event_forwarded);
-}
-
 // Completes the caller's stream after the target has completed its own.
 void finish_stream(active_call& call) {
   if (!call.response_started) {
@@ -281,7 +272,7 @@
   finish_events(current.splitter, [&call](std::string_view event, std::optional<std::uint64_t> id) {
     forward_event(call, event, id);
   });
-  if (stream_is_cut(current)) {
+  if (is_cut_stream(current)) {
     on_failed_after_send(call, "stream ended within an event or before its first");
   } else {
     finish_stream(call);
@@ -375,6 +366,12 @@
 
 }  // namespace
 
+bool is_cut_stream(const target_attempt& attempt) {
+  const bool has_no_event =
+      attempt.response_head.framing == body_framing::until_close && !attempt.first_event_forwarded;
+  return attempt.is_stream && (has_no_event || ends_within_event(attempt.splitter));
+}
+
 void start_attempt(active_call& call, const target_state& target, const placement& choice) {
   router_state& router = *call.router;
   const instant now = current_time();
--- a/router/call_internal.h
+++ b/router/call_internal.h
@@ -28,6 +28,12 @@
 // Precondition: the target is usable and its pool is in the call's configuration.
 void start_attempt(active_call& call, const target_state& target, const placement& choice);
 
+// True if the response is a stream that its target has not completed, although the framing says
+// that it is complete: it stops within an event, or, without length and chunks, before its first.
+// The close of the connection is no proof there: it also closes when the target dies.
+// Precondition: the response is complete by its framing.
+bool is_cut_stream(const target_attempt& attempt);
+
 // Ends the current attempt: updates the target's load and, unless the result is ignored, its
 // health and the pool's failure rate. Closes the connection unless the response is complete.
 void end_attempt(active_call& call, call_result result);
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -289,8 +289,8 @@
   }
 }
 
-// How the response of an attempt ended, for metrics: as its framing says (complete, or
-// inside_event if a stream stopped within an event), because the connection or the parser failed
+// How the response of an attempt ended, for metrics: as its framing says (complete, or cut for a
+// stream that its target has not completed), because the connection or the parser failed
 // (interrupted), or because this router ended the attempt (abandoned).
 const char* response_end_text(const target_attempt& attempt) {
   if (attempt.target_call->connection != nullptr) {
@@ -299,7 +299,7 @@
   if (!attempt.target_call->problem.empty()) {
     return "interrupted";
   }
-  return ends_within_event(attempt.splitter) ? "inside_event" : "complete";
+  return is_cut_stream(attempt) ? "cut" : "complete";
 }
 
 // Notes framing and end of the attempt's response for the log line of the call, and counts it.
--- a/router/testing/response_end_test.cc
+++ b/router/testing/response_end_test.cc
@@ -79,6 +79,8 @@
   CHECK(ended_calls(fixture, "failed", "target_lost") == 1);
   CHECK(fixture.router.call_metrics.answered_calls == 0);
   CHECK(fixture.router.call_metrics.aborted_responses == 1);
+  CHECK_FALSE(fixture.router.call_metrics.target_responses.contains({"until_close", "complete"}));
+  CHECK_FALSE(fixture.router.call_metrics.target_responses.contains({"chunked", "complete"}));
 }
 
 // Guards against a target that dies after the head of a response without length and chunks: the
@@ -93,6 +95,7 @@
     CHECK(view.status == 502);
     CHECK(view.complete);
     CHECK(ended_calls(fixture, "failed", "target_lost") == 1);
+    CHECK(fixture.router.call_metrics.target_responses.at({"until_close", "cut"}) == 1);
   }
   SUBCASE("it is retried if it may be resumed") {
     const caller_view view = call(fixture, "/resumable/");
--- a/scripts/process_tests/broken_streams.sh
+++ b/scripts/process_tests/broken_streams.sh
@@ -25,7 +25,7 @@
 curl -sf -o /dev/null -X POST "$admin/target?id=$busiest&mode=cut"
 load one 3
 [ "$(field whole "$WORK/load-one.txt")" -eq "$(field calls "$WORK/load-one.txt")" ] || fail "not all streams went on at another engine"
-[ "$(ends until_close inside_event)" -gt 0 ] || fail "no stream ended within an event: the test shows nothing"
+[ "$(ends until_close cut)" -gt 0 ] || fail "no stream ended within an event: the test shows nothing"
 
 for engine in i-1 i-2 i-3; do curl -sf -o /dev/null -X POST "$admin/target?id=$engine&mode=cut"; done
 load all 3
