--- a/core/routing/fair_share.cc
+++ b/core/routing/fair_share.cc
@@ -60,6 +60,12 @@
   return share == std::numeric_limits<double>::infinity() ? 0 : share;
 }
 
+// What the peers reported of one organisation.
+struct peers_demand {
+  double asked = 0;
+  std::size_t reporting_peers = 0;
+};
+
 // Updates the allowances of the organisations whose calls arrive here. `capacity`: tokens in a
 // window; 0: unknown, no organisation is held.
 void update_surge_allowances(share_table& table, const std::vector<double>& asked_per_organisation,
@@ -68,6 +74,13 @@
     table.surge_allowances.clear();
     return;
   }
+  std::map<std::uint64_t, peers_demand> peers;
+  for (const auto& peer : table.peer_usage) {
+    for (const std::pair<const std::uint64_t, token_usage>& entry : peer.second.second) {
+      peers[entry.first].asked += entry.second.asked;
+      ++peers[entry.first].reporting_peers;
+    }
+  }
   std::erase_if(table.surge_allowances,
                 [&table](const std::pair<const organisation_name, surge_allowance>& entry) {
                   return !table.own.contains(entry.first);
@@ -78,11 +91,11 @@
   const std::size_t earlier_bucket =
       static_cast<std::size_t>(table.newest_bucket) - usual_part_age_buckets;
   for (const std::pair<const organisation_name, token_usage_window>& entry : table.own) {
-    const fleet_usage& total = table.totals.at(stable_hash(entry.first.value));
-    const double share = unbounded_share(demand, capacity, total.asked);
+    const std::uint64_t hash = stable_hash(entry.first.value);
+    const double share = unbounded_share(demand, capacity, table.totals[hash].asked);
     const double part =
         usual_part(entry.second.earlier_asked_sums[earlier_bucket % share_bucket_count],
-                   total.peers_asked, total.reporting_peers);
+                   peers[hash].asked, peers[hash].reporting_peers);
     update_surge_allowance(table.surge_allowances[entry.first], share * part / window_seconds, now);
   }
 }
@@ -165,22 +178,20 @@
   std::erase_if(table.peer_usage, [now](const auto& entry) { return now > entry.second.first; });
   table.totals.clear();
   for (const std::pair<const organisation_name, token_usage_window>& entry : table.own) {
-    fleet_usage& total = table.totals[stable_hash(entry.first.value)];
+    token_usage& total = table.totals[stable_hash(entry.first.value)];
     total.asked += entry.second.asked_sum;
     total.served += entry.second.served_sum;
   }
   for (const auto& peer : table.peer_usage) {
     for (const std::pair<const std::uint64_t, token_usage>& entry : peer.second.second) {
-      fleet_usage& total = table.totals[entry.first];
+      token_usage& total = table.totals[entry.first];
       total.asked += entry.second.asked;
       total.served += entry.second.served;
-      total.peers_asked += entry.second.asked;
-      ++total.reporting_peers;
     }
   }
   std::vector<double> asked_per_organisation;
   double total_served = 0;
-  for (const std::pair<const std::uint64_t, fleet_usage>& entry : table.totals) {
+  for (const std::pair<const std::uint64_t, token_usage>& entry : table.totals) {
     asked_per_organisation.push_back(entry.second.asked);
     total_served += entry.second.served;
   }
--- a/core/routing/fair_share.h
+++ b/core/routing/fair_share.h
@@ -65,14 +65,6 @@
   double served = 0;
 };
 
-// Weighted tokens of one organisation in one window, over all routers.
-struct fleet_usage {
-  double asked = 0;
-  double served = 0;
-  double peers_asked = 0;           // part of `asked` that peers reported
-  std::size_t reporting_peers = 0;  // peers whose reports have the organisation
-};
-
 struct share_table {
   std::map<organisation_name, token_usage_window> own;  // usage by this router's callers
   // Until when a peer's report is valid, and its usage by hash of the organisation.
@@ -80,7 +72,7 @@
   std::int64_t newest_bucket = 0;               // number of the bucket that is filled now
   double fair_share_per_window = 0;             // tokens; 0: no organisation is limited
   double admission_level_per_window = 0;        // likewise; at least the fair share
-  std::map<std::uint64_t, fleet_usage> totals;  // by hash of the organisation
+  std::map<std::uint64_t, token_usage> totals;  // of all routers, by hash of the organisation
   std::map<organisation_name, surge_allowance> surge_allowances;  // of those in `own`
 };
 
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -150,7 +150,7 @@
     return;
   }
   router.shares_logged_at = now;
-  using named_usage = std::pair<organisation_name, fleet_usage>;
+  using named_usage = std::pair<organisation_name, token_usage>;
   std::vector<named_usage> most_served;
   for (const std::pair<const organisation_name, token_usage_window>& entry : shares.own) {
     auto total = shares.totals.find(stable_hash(entry.first.value));
