--- a/core/routing/fair_share.cc
+++ b/core/routing/fair_share.cc
@@ -24,22 +24,9 @@
   window.served[index] = 0;
 }
 
-// Notes the asked tokens at the end of the buckets that are over.
-void record_asked_sums(share_table& table, std::int64_t bucket) {
-  const std::int64_t first =
-      std::max(table.newest_bucket, bucket - static_cast<std::int64_t>(share_bucket_count));
-  for (std::int64_t ended = first; ended < bucket; ++ended) {
-    for (std::pair<const organisation_name, token_usage_window>& entry : table.own) {
-      entry.second.earlier_asked_sums[static_cast<std::size_t>(ended) % share_bucket_count] =
-          entry.second.asked_sum;
-    }
-  }
-}
-
 // Clears the buckets that have left the window.
 void advance_window(share_table& table, instant now) {
   const std::int64_t bucket = bucket_at(now);
-  record_asked_sums(table, bucket);
   const std::int64_t expired_buckets = std::min<std::int64_t>(
       bucket - table.newest_bucket, static_cast<std::int64_t>(share_bucket_count));
   for (std::int64_t step = 0; step < expired_buckets; ++step) {
@@ -60,46 +47,6 @@
   return share == std::numeric_limits<double>::infinity() ? 0 : share;
 }
 
-// What the peers reported of one organisation.
-struct peers_demand {
-  double asked = 0;
-  std::size_t reporting_peers = 0;
-};
-
-// Updates the allowances of the organisations whose calls arrive here. `capacity`: tokens in a
-// window; 0: unknown, no organisation is held.
-void update_surge_allowances(share_table& table, const std::vector<double>& asked_per_organisation,
-                             double capacity, instant now) {
-  if (capacity <= 0) {
-    table.surge_allowances.clear();
-    return;
-  }
-  std::map<std::uint64_t, peers_demand> peers;
-  for (const auto& peer : table.peer_usage) {
-    for (const std::pair<const std::uint64_t, token_usage>& entry : peer.second.second) {
-      peers[entry.first].asked += entry.second.asked;
-      ++peers[entry.first].reporting_peers;
-    }
-  }
-  std::erase_if(table.surge_allowances,
-                [&table](const std::pair<const organisation_name, surge_allowance>& entry) {
-                  return !table.own.contains(entry.first);
-                });
-  const double window_seconds =
-      std::chrono::duration<double>(share_bucket_width * share_bucket_count).count();
-  const demand_profile demand = make_demand_profile(asked_per_organisation);
-  const std::size_t earlier_bucket =
-      static_cast<std::size_t>(table.newest_bucket) - usual_part_age_buckets;
-  for (const std::pair<const organisation_name, token_usage_window>& entry : table.own) {
-    const std::uint64_t hash = stable_hash(entry.first.value);
-    const double share = unbounded_share(demand, capacity, table.totals[hash].asked);
-    const double part =
-        usual_part(entry.second.earlier_asked_sums[earlier_bucket % share_bucket_count],
-                   peers[hash].asked, peers[hash].reporting_peers);
-    update_surge_allowance(table.surge_allowances[entry.first], share * part / window_seconds, now);
-  }
-}
-
 // Tokens served to the organisation, divided by min(asked tokens, limit); 0 if there is no limit.
 double position(const share_table& table, const organisation_name& organisation, double limit) {
   if (limit <= 0) {
@@ -133,10 +80,6 @@
   token_usage_window& window = table.own[organisation];
   window.served[static_cast<std::size_t>(table.newest_bucket) % share_bucket_count] += tokens;
   window.served_sum += tokens;
-  auto allowance = table.surge_allowances.find(organisation);
-  if (allowance != table.surge_allowances.end()) {
-    spend_surge_allowance(allowance->second, tokens);
-  }
 }
 
 std::vector<std::pair<std::uint64_t, token_usage>> usage_report(const share_table& table,
@@ -199,12 +142,12 @@
       std::chrono::duration<double>(share_bucket_width * share_bucket_count).count();
   const double stated_capacity = tokens_per_second * window_seconds;
   table.fair_share_per_window = limit_or_zero(asked_per_organisation, stated_capacity);
-  const double usable_capacity =
+  table.admission_level_per_window =
       stated_capacity <= 0
           ? 0
-          : std::max(stated_capacity, admission_growth_factor(rounds_per_cycle) * total_served);
-  table.admission_level_per_window = limit_or_zero(asked_per_organisation, usable_capacity);
-  update_surge_allowances(table, asked_per_organisation, usable_capacity, now);
+          : limit_or_zero(asked_per_organisation,
+                          std::max(stated_capacity,
+                                   admission_growth_factor(rounds_per_cycle) * total_served));
 }
 
 double share_position(const share_table& table, const organisation_name& organisation) {
@@ -228,12 +171,6 @@
   return std::min(1.0, level / (found->second.asked * correction));
 }
 
-bool is_within_surge_limit(const share_table& table, const organisation_name& organisation,
-                           instant now) {
-  auto found = table.surge_allowances.find(organisation);
-  return found == table.surge_allowances.end() || has_surge_allowance(found->second, now);
-}
-
 double max_min_fair_share(std::vector<double> asked, double capacity) {
   std::sort(asked.begin(), asked.end());
   double remaining = capacity;
--- a/core/routing/fair_share.h
+++ b/core/routing/fair_share.h
@@ -10,7 +10,6 @@
 //   update_fair_share(table, tokens_per_second, rounds_per_cycle, now);  // a few times a second
 //   double position = share_position(table, org);        // served / min(asked, fair share)
 //   if (random >= admitted_fraction(table, org)) refuse
-//   if (!is_within_surge_limit(table, org, now)) refuse
 //
 // An organisation with a position of 1 or more has reached its share. While no peer
 // has reported, the totals are the router's own counts.
@@ -33,7 +32,6 @@
 
 #include "core/base/types.h"
 #include "core/calls/call.h"
-#include "core/routing/surge_limit.h"
 
 namespace peridot {
 
@@ -50,15 +48,8 @@
   std::array<double, share_bucket_count> served{};
   double asked_sum = 0;
   double served_sum = 0;
-  // asked_sum at the end of each of the last buckets, the current one excluded.
-  std::array<double, share_bucket_count> earlier_asked_sums{};
 };
 
-// How long ago the part of an organisation's calls at this router is measured: a surge that the
-// peers' reports do not show yet is not part of it. A second is about the gossip cycle of the
-// largest fleet in use.
-inline constexpr std::size_t usual_part_age_buckets = 4;
-
 // Weighted tokens in one window.
 struct token_usage {
   double asked = 0;
@@ -73,7 +64,6 @@
   double fair_share_per_window = 0;             // tokens; 0: no organisation is limited
   double admission_level_per_window = 0;        // likewise; at least the fair share
   std::map<std::uint64_t, token_usage> totals;  // of all routers, by hash of the organisation
-  std::map<organisation_name, surge_allowance> surge_allowances;  // of those in `own`
 };
 
 // Weighted tokens of a call: a prompt token counts once, an output token
@@ -116,10 +106,6 @@
 // it was served more. 1 if it asks for less or if the level limits no organisation.
 double admitted_fraction(const share_table& table, const organisation_name& organisation);
 
-// False if the organisation has used up its surge allowance at this router (surge_limit.h).
-bool is_within_surge_limit(const share_table& table, const organisation_name& organisation,
-                           instant now);
-
 // The largest share such that the sum of min(asked, share) stays within the capacity;
 // infinite if the sum of `asked` fits.
 double max_min_fair_share(std::vector<double> asked, double capacity);
--- a/experiment/fleet_model.cc
+++ b/experiment/fleet_model.cc
@@ -323,12 +323,11 @@
   simulated_router& router = state.routers[call.router_index];
   record_asked_tokens(router.shares, organisation_name_of(call.organisation_index),
                       weighted_tokens(call.call_prompt), state.now);
-  const organisation_name organisation = organisation_name_of(call.organisation_index);
-  const bool limits_shares = state.policy == routing_policy::peridot;
-  const double fraction = limits_shares ? admitted_fraction(router.shares, organisation) : 1;
-  const bool within_surge_limit =
-      !limits_shares || is_within_surge_limit(router.shares, organisation, state.now);
-  if (!within_surge_limit || (fraction < 1 && random_fraction(state) >= fraction)) {
+  const double fraction =
+      state.policy == routing_policy::peridot
+          ? admitted_fraction(router.shares, organisation_name_of(call.organisation_index))
+          : 1;
+  if (fraction < 1 && random_fraction(state) >= fraction) {
     const duration time_left = call.arrived_at + kind.caller_timeout - state.now;
     refuse_call(state, call_index,
                 retry_after(default_retry_after, time_left, random_fraction(state)));
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -207,14 +207,12 @@
   end_with_refusal(call, decision.reason, decision.retry_after);
 }
 
-// Refuses a call at random so that its organisation is served the admission level at most, and if
-// the organisation has used up its surge allowance. True if it was refused.
+// Refuses a call at random so that its organisation is served the admission level at most. True
+// if it was refused.
 bool refuse_if_above_level(active_call& call) {
   router_state& router = *call.router;
   const double fraction = admitted_fraction(router.shares, call.organisation);
-  const bool within_surge_limit =
-      is_within_surge_limit(router.shares, call.organisation, current_time());
-  if (within_surge_limit && (fraction >= 1 || random_fraction(router) < fraction)) {
+  if (fraction >= 1 || random_fraction(router) < fraction) {
     return false;
   }
   log_line(log_part::http, log_level::warn,
@@ -222,7 +220,6 @@
                " caller=" + call.organisation.value + " tokens_in=" +
                std::to_string(static_cast<int>(call.request.call_prompt->prompt_tokens)) +
                " admitted_fraction=" + decimal_text(fraction) +
-               " within_surge_limit=" + (within_surge_limit ? "1" : "0") +
                " level_position=" + decimal_text(call.level_position) +
                " share_position=" + decimal_text(call.share_position));
   end_with_refusal(
