--- a/experiment/fleet_model.cc
+++ b/experiment/fleet_model.cc
@@ -12,8 +12,10 @@
 #include "core/fleet/membership.h"
 #include "core/routing/admission.h"
 #include "core/routing/fair_share.h"
+#include "core/routing/overload.h"
 #include "core/routing/placement.h"
 #include "experiment/fairness.h"
+#include "experiment/router_processor.h"
 
 namespace peridot::experiment {
 namespace {
@@ -21,10 +23,21 @@
 constexpr milliseconds gossip_interval{200};  // default of the router's setting gossip_interval_ms
 constexpr int max_sends = 2;                  // per call: a refused call is retried once
 constexpr double size_independent_worth_fraction = 0.3;  // the rest grows with size
+constexpr milliseconds overload_sample_interval{100};    // the router's tick
+constexpr milliseconds reconnect_delay{6};               // a round trip between caller and router
+constexpr int max_reconnects = 8;  // of a call whose connections are closed unread
 
 const instant simulation_start = instant{} + std::chrono::hours{1};
 
-enum class event_kind { arrival, step, gossip, deadline };
+enum class event_kind {
+  arrival,
+  decision,
+  step,
+  gossip,
+  deadline,
+  overload_sample,
+  readiness_check
+};
 
 struct timed_event {
   instant at{};
@@ -47,6 +60,7 @@
   std::optional<duration> time_to_first_token;  // from arrived_at
   int sends = 0;
   int refusals = 0;
+  int reconnects = 0;
   bool completed = false;
   bool given_up = false;  // refused for the last time, or past its deadline
   std::size_t router_index = 0;
@@ -58,6 +72,8 @@
 struct simulated_router {
   load_table loads;
   share_table shares;
+  router_processor processor;
+  overload_state overload;
   std::vector<std::size_t> pending_peers;  // indexes of those not yet reached in this gossip cycle
 };
 
@@ -67,6 +83,8 @@
   std::mt19937_64 random;
   std::vector<simulated_call> calls;
   std::vector<simulated_router> routers;
+  std::vector<balanced_router> balancer;  // empty: processors are not modelled
+  router_costs costs;
   std::vector<engine_model> engines;
   std::vector<bool> step_scheduled;
   std::vector<candidate> candidates;
@@ -301,6 +319,13 @@
 
 std::size_t sample_entry_router(simulation_state& state, const simulated_call& call) {
   const int entry_routers = organisation_of(*state.scenario, call.organisation_index).entry_routers;
+  if (!state.balancer.empty()) {
+    const std::uint64_t client = entry_routers == 0
+                                     ? state.random()
+                                     : state.random() % static_cast<std::uint64_t>(entry_routers);
+    return choose_router(state.balancer,
+                         stable_hash(organisation_name_of(call.organisation_index).value, client));
+  }
   if (entry_routers == 0) {
     return state.random() % state.routers.size();
   }
@@ -310,17 +335,27 @@
   return (first + state.random() % static_cast<std::size_t>(entry_routers)) % state.routers.size();
 }
 
-void on_arrival(simulation_state& state, std::size_t call_index) {
+bool peers_accept_calls(const simulation_state& state) {
+  const auto accepting =
+      std::count_if(state.routers.begin(), state.routers.end(),
+                    [](const simulated_router& router) { return !router.overload.shedding; });
+  return enough_peers_accept_calls(static_cast<std::size_t>(accepting), state.routers.size());
+}
+
+// Decides on a call that its router has read.
+void on_decision(simulation_state& state, std::size_t call_index) {
   simulated_call& call = state.calls[call_index];
   const call_kind_options& kind = state.scenario->kinds[call.kind_index];
-  if (call.sends == 0) {
-    add_event(state, call.arrived_at + kind.caller_timeout, event_kind::deadline, call_index);
+  if (call.given_up) {
+    return;  // the caller left before its request was read
   }
-  ++call.sends;
-  call.router_index = sample_entry_router(state, call);
-  record_asked(state.fairness, call.organisation_index, state.now - simulation_start,
-               weighted_tokens(call.call_prompt));
   simulated_router& router = state.routers[call.router_index];
+  const duration time_left = call.arrived_at + kind.caller_timeout - state.now;
+  if (state.policy == routing_policy::peridot &&
+      should_refuse_new_call(router.overload, kind.latency_objective, peers_accept_calls(state))) {
+    refuse_call(state, call_index, retry_after(min_retry_after, time_left, random_fraction(state)));
+    return;
+  }
   record_asked_tokens(router.shares, organisation_name_of(call.organisation_index),
                       weighted_tokens(call.call_prompt), state.now);
   const double fraction =
@@ -328,7 +363,6 @@
           ? admitted_fraction(router.shares, organisation_name_of(call.organisation_index))
           : 1;
   if (fraction < 1 && random_fraction(state) >= fraction) {
-    const duration time_left = call.arrived_at + kind.caller_timeout - state.now;
     refuse_call(state, call_index,
                 retry_after(default_retry_after, time_left, random_fraction(state)));
     return;
@@ -346,6 +380,7 @@
       return;
     }
   }
+  spend(router.processor, state.costs.served_call - state.costs.refused_call, state.now);
   call.engine_index = static_cast<std::size_t>(choice.chosen - state.candidates.data());
   call.added_load = record_call_sent(router.loads, choice.chosen->name, &call.call_prompt,
                                      state.scenario->engine.kv_capacity_tokens, state.now);
@@ -360,6 +395,35 @@
   schedule_step(state, call.engine_index);
 }
 
+void on_arrival(simulation_state& state, std::size_t call_index) {
+  simulated_call& call = state.calls[call_index];
+  const call_kind_options& kind = state.scenario->kinds[call.kind_index];
+  if (call.sends == 0 && call.reconnects == 0) {
+    add_event(state, call.arrived_at + kind.caller_timeout, event_kind::deadline, call_index);
+  }
+  if (call.given_up) {
+    return;
+  }
+  call.router_index = sample_entry_router(state, call);
+  simulated_router& router = state.routers[call.router_index];
+  if (router.overload.closing_new_connections && call.reconnects < max_reconnects) {
+    spend(router.processor, state.costs.closed_connection, state.now);
+    ++call.reconnects;
+    record_unmet(state.fairness, call.organisation_index, state.now - simulation_start);
+    add_event(state, state.now + reconnect_delay, event_kind::arrival, call_index);
+    return;
+  }
+  ++call.sends;
+  record_asked(state.fairness, call.organisation_index, state.now - simulation_start,
+               weighted_tokens(call.call_prompt));
+  if (state.balancer.empty()) {
+    on_decision(state, call_index);
+  } else {
+    add_event(state, spend(router.processor, state.costs.refused_call, state.now),
+              event_kind::decision, call_index);
+  }
+}
+
 void remove_from_engine(simulation_state& state, simulated_call& call) {
   call.at_engine = false;
   record_call_ended(state.routers[call.router_index].loads,
@@ -470,6 +534,20 @@
   add_event(state, state.now + gossip_interval, event_kind::gossip, router_index);
 }
 
+void on_overload_sample(simulation_state& state, std::size_t router_index) {
+  simulated_router& router = state.routers[router_index];
+  if (state.policy == routing_policy::peridot) {
+    record_loop_time(router.overload, backlog(router.processor, state.now),
+                     peers_accept_calls(state), state.now);
+  }
+  add_event(state, state.now + overload_sample_interval, event_kind::overload_sample, router_index);
+}
+
+void on_readiness_check(simulation_state& state, std::size_t router_index) {
+  record_check(state.balancer[router_index], !state.routers[router_index].overload.shedding);
+  add_event(state, state.now + readiness_check_interval, event_kind::readiness_check, router_index);
+}
+
 void process_events(simulation_state& state) {
   milliseconds max_caller_timeout{0};
   for (const call_kind_options& kind : state.scenario->kinds) {
@@ -486,6 +564,15 @@
       case event_kind::arrival:
         on_arrival(state, next.index);
         break;
+      case event_kind::decision:
+        on_decision(state, next.index);
+        break;
+      case event_kind::overload_sample:
+        on_overload_sample(state, next.index);
+        break;
+      case event_kind::readiness_check:
+        on_readiness_check(state, next.index);
+        break;
       case event_kind::step:
         on_step(state, next.index);
         break;
@@ -609,6 +696,20 @@
   return result;
 }
 
+// Gives the routers their cores, and starts overload detection and readiness checks.
+void start_processors(simulation_state& state) {
+  const std::vector<double>& cores = state.scenario->router_cores;
+  state.balancer.resize(cores.size());
+  for (std::size_t router_index = 0; router_index < cores.size(); ++router_index) {
+    const double phase = static_cast<double>(router_index) / static_cast<double>(cores.size());
+    state.routers[router_index].processor.cores = cores[router_index];
+    add_event(state, simulation_start + scaled(overload_sample_interval, phase),
+              event_kind::overload_sample, router_index);
+    add_event(state, simulation_start + scaled(readiness_check_interval, phase),
+              event_kind::readiness_check, router_index);
+  }
+}
+
 }  // namespace
 
 const char* to_text(routing_policy value) {
@@ -652,6 +753,7 @@
     add_event(state, simulation_start + gossip_interval * router_index / scenario.router_count,
               event_kind::gossip, router_index);
   }
+  start_processors(state);
   process_events(state);
   return summarize(state);
 }
--- a/experiment/fleet_model.h
+++ b/experiment/fleet_model.h
@@ -3,8 +3,10 @@
 //
 // The simulated routers call the same functions as the router process (core/routing) and
 // exchange their load and token usage by gossip, in rounds of 200 ms and cycles that reach each
-// peer once, like the router's. Not modelled: network delays, CPU time of the routers, failures,
-// calls without a prompt.
+// peer once, like the router's. Where the scenario states the routers' cores, each call takes
+// processor time of its router, the router detects its overload, and callers enter through a load
+// balancer (experiment/router_processor.h). Not modelled: network delays, failures, calls without
+// a prompt.
 //
 //   simulation_result result = simulate(scenario, routing_policy::peridot, seed);
 //
--- a/experiment/scenario.cc
+++ b/experiment/scenario.cc
@@ -126,6 +126,14 @@
   return result;
 }
 
+// Multiplies the call rates of all kinds for a while.
+void multiply_rates(load_scenario& scenario, double factor, seconds start_offset, seconds length) {
+  for (std::size_t kind = 0; kind < scenario.kinds.size(); ++kind) {
+    scenario.surges.push_back(
+        {load_surge::scope::kind, static_cast<int>(kind), factor, start_offset, length});
+  }
+}
+
 std::vector<organisation_options> large_fleet_organisations() {
   std::vector<organisation_options> result = {
       {0.12, 0, 1}, {0.13, 2, 2}, {0.13, 4, 1}, {0.08, 1, 1}};
@@ -164,8 +172,42 @@
   return result;
 }
 
+load_scenario flooded_router_scenario() {
+  load_scenario result = large_fleet_scenario();
+  result.name = "flooded-router";
+  result.description = "one organisation floods the small router through which it enters";
+  constexpr double large_router_cores = 0.5;
+  constexpr double small_router_cores = 0.12;
+  constexpr int routers_per_large_one = 14;
+  for (int index = 0; index < result.router_count; ++index) {
+    result.router_cores.push_back(index % routers_per_large_one == 0 ? large_router_cores
+                                                                     : small_router_cores);
+  }
+  result.organisations[1] = {0.13, 1, 1};
+  result.surges = {{load_surge::scope::organisation, 0, 8, seconds{2}, seconds{10}},
+                   {load_surge::scope::organisation, 1, 21, seconds{2}, seconds{10}}};
+  multiply_rates(result, 3.7, seconds{2}, seconds{10});
+  result.length = seconds{12};
+  return result;
+}
+
+load_scenario second_flood_scenario() {
+  load_scenario result = large_fleet_scenario();
+  result.name = "second-flood";
+  result.description = "one organisation floods one router, then another one floods all of them";
+  result.organisations[0].weight = 0.04;
+  result.organisations[1] = {0.05, 1, 1};
+  result.surges = {{load_surge::scope::organisation, 1, 20, seconds{1}, seconds{13}},
+                   {load_surge::scope::organisation, 0, 55, seconds{7}, seconds{7}}};
+  multiply_rates(result, 2, seconds{1}, seconds{6});
+  multiply_rates(result, 4, seconds{7}, seconds{7});
+  result.length = seconds{14};
+  return result;
+}
+
 std::vector<load_scenario> all_scenarios() {
-  return {listings(), notebooks(), many_subjects(), hot_subject(), short_calls(), reduced_load()};
+  return {listings(),    notebooks(),    many_subjects(),          hot_subject(),
+          short_calls(), reduced_load(), flooded_router_scenario()};
 }
 
 }  // namespace peridot::experiment
--- a/experiment/scenario.h
+++ b/experiment/scenario.h
@@ -46,8 +46,10 @@
 
 // One organisation of a scenario.
 struct organisation_options {
-  double weight = 1;         // among the callers
-  int entry_routers = 0;     // number of routers that its calls arrive at; 0: all
+  double weight = 1;  // among the callers
+  // Number of routers that its calls arrive at; 0: all. Where processors are modelled, the number
+  // of its clients: the load balancer sends each of them to one router.
+  int entry_routers = 0;
   double prompt_factor = 1;  // multiplies the size of the unique segment of its prompts
 };
 
@@ -56,6 +58,9 @@
   std::string description;
   int router_count = 9;
   int engine_count = 9;
+  // Share of a core of each router; empty: processors are not modelled, and the load balancer
+  // spreads the callers evenly.
+  std::vector<double> router_cores;
   engine_options engine;
   double capacity_tokens_per_s = 0;  // of all engines; limits.tokens_per_s of the configuration
   int organisation_count = 16;
@@ -75,4 +80,12 @@
 // share: one through all routers, one with heavy prompts through two, others through one or four.
 load_scenario large_fleet_scenario();
 
+// One organisation floods the small router at which the load balancer lets it enter, while another
+// asks for more than its share through all routers.
+load_scenario flooded_router_scenario();
+
+// The large fleet, in which the organisation that enters through all routers starts to flood while
+// another, which enters through one, has asked for more than its share for a while.
+load_scenario second_flood_scenario();
+
 }  // namespace peridot::experiment
--- a/experiment/testing/fairness_test.cc
+++ b/experiment/testing/fairness_test.cc
@@ -66,3 +66,26 @@
     CHECK(worst_fairness_ratio(result.usage) >= min_fairness_ratio);
   }
 }
+
+// Guards against the flooded router (docs/incidents/ashyq-esik-grown-fair.md): an organisation
+// whose calls arrived at small routers got far less than its share while these shed the flood by
+// turns.
+TEST_CASE("flooded router: the organisation that floods it gets half of its share or more") {
+  const load_scenario scenario = flooded_router_scenario();
+  for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+    CAPTURE(seed);
+    const simulation_result result = simulate(scenario, routing_policy::peridot, seed);
+    CHECK(worst_fairness_ratio(result.usage) >= min_fairness_ratio);
+  }
+}
+
+// Guards against the first second of a flood (docs/incidents/ashyq-esik-grown-fair.md): an
+// organisation got a multiple of its share until the routers knew what the others admitted.
+TEST_CASE("second flood: the organisation that flooded before gets half of its share or more") {
+  const load_scenario scenario = second_flood_scenario();
+  for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+    CAPTURE(seed);
+    const simulation_result result = simulate(scenario, routing_policy::peridot, seed);
+    CHECK(worst_fairness_ratio(result.usage) >= min_fairness_ratio);
+  }
+}
