--- a/experiment/scenario.cc
+++ b/experiment/scenario.cc
@@ -195,6 +195,7 @@
   load_scenario result = large_fleet_scenario();
   result.name = "second-flood";
   result.description = "one organisation floods one router, then another one floods all of them";
+  result.engine_count = 120;
   result.organisations[0].weight = 0.04;
   result.organisations[1] = {0.05, 1, 1};
   result.surges = {{load_surge::scope::organisation, 1, 20, seconds{1}, seconds{13}},
