Bound the connections that one loop iteration accepts

Cause: the listener accepted, read and answered all connections that waited, so a flood of them made one loop iteration 130 ms long on 0.12 cores. The router then closed connections unread (4,817 in 1.6 s; their callers come back at once) and reported not ready, which moved the flood to the next router, and back within 1.3 s of being ready again. Not the share logic: on a router with 0.5 cores the same organisation is served up to its level.

Change: an iteration accepts 16 connections; the others wait in the backlog, now 256. A call that waited there is dropped if its caller has left meanwhile (a peek at the socket). The router serves what its processor allows and refuses the rest with Retry-After; shedding remains for what makes iterations long otherwise.

--- a/core/routing/overload.h
+++ b/core/routing/overload.h
@@ -12,6 +12,11 @@
 //   if (state.shedding) { report not ready; close each connection after its response }
 //   if (state.closing_new_connections) { close new connections without reading }
 //
+// A flood of new connections does not make iterations long: each one accepts
+// max_accepts_per_iteration at most, and the others wait in the backlog of the listening socket.
+// The instance then serves what its CPU allows and refuses the rest. If it shed the flood, that
+// would overload the next instance, and come back once this one is ready again.
+//
 // Load patterns handled: one caller that sends many times its usual rate over
 // connections to one instance; an instance that is slowed down or has used up its CPU
 // quota.
@@ -45,6 +50,12 @@
 inline constexpr milliseconds recovered_loop_time{15};  // well below the bounds above
 inline constexpr milliseconds recovery_delay{2'000};    // two readiness checks of the load balancer
 
+// New connections that one iteration accepts.
+inline constexpr int max_accepts_per_iteration = 16;
+// Connections that wait to be accepted; more are not established. With an eighth of a core, the
+// last one waits for less than half a second.
+inline constexpr int accept_backlog = 256;
+
 struct overload_state {
   duration mean_loop_time{};  // moving average
   bool shedding = false;
--- a/experiment/fleet_model.cc
+++ b/experiment/fleet_model.cc
@@ -25,6 +25,7 @@
 constexpr double size_independent_worth_fraction = 0.3;  // the rest grows with size
 constexpr milliseconds overload_sample_interval{100};    // the router's tick
 constexpr milliseconds reconnect_delay{6};               // a round trip between caller and router
+constexpr milliseconds connect_timeout{1'000};           // of a caller
 constexpr int max_reconnects = 8;  // of a call whose connections are closed unread
 
 const instant simulation_start = instant{} + std::chrono::hours{1};
@@ -74,6 +75,7 @@
   share_table shares;
   router_processor processor;
   overload_state overload;
+  int unread_calls = 0;                    // whose connection waits to be accepted
   std::vector<std::size_t> pending_peers;  // indexes of those not yet reached in this gossip cycle
 };
 
@@ -97,6 +99,10 @@
   instant now = simulation_start;
 };
 
+bool has_admission(routing_policy policy) {
+  return policy == routing_policy::peridot || policy == routing_policy::unlimited_accepts;
+}
+
 void add_event(simulation_state& state, instant at, event_kind kind, std::size_t index) {
   state.events.push({at, state.next_sequence++, kind, index});
 }
@@ -297,7 +303,7 @@
 
 bool is_admitted(const simulation_state& state, const simulated_call& call, const placement& choice,
                  bool is_fallback) {
-  return state.policy != routing_policy::peridot ||
+  return !has_admission(state.policy) ||
          decide_admission(state, call, choice, is_fallback, 0).admitted;
 }
 
@@ -346,12 +352,13 @@
 void on_decision(simulation_state& state, std::size_t call_index) {
   simulated_call& call = state.calls[call_index];
   const call_kind_options& kind = state.scenario->kinds[call.kind_index];
+  simulated_router& router = state.routers[call.router_index];
+  router.unread_calls -= state.balancer.empty() ? 0 : 1;
   if (call.given_up) {
     return;  // the caller left before its request was read
   }
-  simulated_router& router = state.routers[call.router_index];
   const duration time_left = call.arrived_at + kind.caller_timeout - state.now;
-  if (state.policy == routing_policy::peridot &&
+  if (has_admission(state.policy) &&
       should_refuse_new_call(router.overload, kind.latency_objective, peers_accept_calls(state))) {
     refuse_call(state, call_index, retry_after(min_retry_after, time_left, random_fraction(state)));
     return;
@@ -359,7 +366,7 @@
   record_asked_tokens(router.shares, organisation_name_of(call.organisation_index),
                       weighted_tokens(call.call_prompt), state.now);
   const double fraction =
-      state.policy == routing_policy::peridot
+      has_admission(state.policy)
           ? admitted_fraction(router.shares, organisation_name_of(call.organisation_index))
           : 1;
   if (fraction < 1 && random_fraction(state) >= fraction) {
@@ -414,11 +421,16 @@
     return;
   }
   ++call.sends;
+  if (state.policy == routing_policy::peridot && router.unread_calls >= accept_backlog) {
+    refuse_call(state, call_index, connect_timeout);  // the connection is not established
+    return;
+  }
   record_asked(state.fairness, call.organisation_index, state.now - simulation_start,
                weighted_tokens(call.call_prompt));
   if (state.balancer.empty()) {
     on_decision(state, call_index);
   } else {
+    ++router.unread_calls;
     add_event(state, spend(router.processor, state.costs.refused_call, state.now),
               event_kind::decision, call_index);
   }
@@ -534,11 +546,19 @@
   add_event(state, state.now + gossip_interval, event_kind::gossip, router_index);
 }
 
+duration loop_time(const simulation_state& state, const simulated_router& router) {
+  const duration all_tasks = backlog(router.processor, state.now);
+  return state.policy == routing_policy::peridot
+             ? std::min(all_tasks, scaled(state.costs.refused_call * max_accepts_per_iteration,
+                                          1 / router.processor.cores))
+             : all_tasks;
+}
+
 void on_overload_sample(simulation_state& state, std::size_t router_index) {
   simulated_router& router = state.routers[router_index];
-  if (state.policy == routing_policy::peridot) {
-    record_loop_time(router.overload, backlog(router.processor, state.now),
-                     peers_accept_calls(state), state.now);
+  if (has_admission(state.policy)) {
+    record_loop_time(router.overload, loop_time(state, router), peers_accept_calls(state),
+                     state.now);
   }
   add_event(state, state.now + overload_sample_interval, event_kind::overload_sample, router_index);
 }
@@ -716,6 +736,8 @@
   switch (value) {
     case routing_policy::peridot:
       return "peridotspur";
+    case routing_policy::unlimited_accepts:
+      return "unlimited accepts";
     case routing_policy::no_admission:
       return "no admission";
     case routing_policy::least_connections:
--- a/experiment/fleet_model.h
+++ b/experiment/fleet_model.h
@@ -23,6 +23,7 @@
 
 enum class routing_policy {
   peridot,            // placement and admission control of the router
+  unlimited_accepts,  // the same, but a loop iteration accepts all connections that wait
   no_admission,       // the same placement; every call is admitted
   least_connections,  // the engine with the fewest calls of this router
   rendezvous,         // rendezvous hashing by the prompt's longest shared prefix
--- a/experiment/testing/fairness_test.cc
+++ b/experiment/testing/fairness_test.cc
@@ -79,6 +79,12 @@
   }
 }
 
+TEST_CASE("flooded router: with unlimited accepts, the flooding organisation gets less than half") {
+  const simulation_result result =
+      simulate(flooded_router_scenario(), routing_policy::unlimited_accepts, 1);
+  CHECK(worst_fairness_ratio(result.usage) < min_fairness_ratio);
+}
+
 // Guards against the first second of a flood (docs/incidents/ashyq-esik-grown-fair.md): an
 // organisation got a multiple of its share until the routers knew what the others admitted.
 TEST_CASE("second flood: the organisation that flooded before gets half of its share or more") {
--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -23,7 +23,6 @@
 constexpr std::size_t max_pipelined_bytes = 64 << 10;
 // Input buffered while a request is received.
 constexpr std::size_t max_request_input_bytes = 256 << 10;
-constexpr int accept_backlog = 512;
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 void set_timeout(http_connection& connection, milliseconds time) {
@@ -153,8 +152,20 @@
   return true;
 }
 
+// True if the caller has closed its sending side. Reads nothing.
+bool caller_has_left(const http_connection& connection) {
+  char byte = 0;
+  return recv(bufferevent_getfd(connection.stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void pass_to_handler(http_connection& connection) {
   http_listener& listener = *connection.listener;
+  if (connection.waited_in_backlog && caller_has_left(connection)) {
+    ++listener.callers_left_unread;
+    close_connection(connection);
+    return;
+  }
+  connection.waited_in_backlog = false;
   std::shared_ptr<http_exchange> exchange = std::make_shared<http_exchange>();
   exchange->id = listener.next_exchange_id++;
   exchange->head = std::move(connection.parser.head);
@@ -253,8 +264,7 @@
   reject_request(connection, 408, "request did not arrive in time");
 }
 
-void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr* address, int, void* argument) {
-  http_listener& listener = *static_cast<http_listener*>(argument);
+void add_connection(http_listener& listener, evutil_socket_t socket, const sockaddr_in& address) {
   if (listener.rejecting_connections) {
     ++listener.connections_rejected;
     evutil_closesocket(socket);
@@ -275,11 +285,9 @@
   PERIDOT_CHECK(connection->stream != nullptr, "cannot allocate a connection");
   connection->timer.reset(evtimer_new(listener.base, on_timer, connection));
   char ip_text[INET_ADDRSTRLEN] = "";
-  if (address->sa_family == AF_INET) {
-    const sockaddr_in* ip = reinterpret_cast<const sockaddr_in*>(address);
-    inet_ntop(AF_INET, &ip->sin_addr, ip_text, sizeof(ip_text));
-    connection->remote_address = std::string(ip_text) + ":" + std::to_string(ntohs(ip->sin_port));
-  }
+  inet_ntop(AF_INET, &address.sin_addr, ip_text, sizeof(ip_text));
+  connection->remote_address = std::string(ip_text) + ":" + std::to_string(ntohs(address.sin_port));
+  connection->waited_in_backlog = listener.backlogged;
   listener.connections.insert(connection);
   bufferevent_setcb(connection->stream, on_readable, on_written, on_event, connection);
   bufferevent_setwatermark(connection->stream, EV_READ, 0, max_request_input_bytes);
@@ -287,19 +295,29 @@
   bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
 }
 
-// Accepts the connections in the backlog. Closing the listening socket would reset them,
-// although their requests may already be in flight.
-void accept_pending_connections(http_listener& listener) {
+// Accepts up to `max_count` connections from the backlog. Returns how many it accepted.
+int accept_connections(http_listener& listener, int max_count) {
   const evutil_socket_t listening_socket = evconnlistener_get_fd(listener.socket);
-  sockaddr_in address{};
-  socklen_t length = sizeof(address);
-  int socket = -1;
-  while ((socket = accept4(listening_socket, reinterpret_cast<sockaddr*>(&address), &length,
-                           SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-    on_accept(listener.socket, socket, reinterpret_cast<sockaddr*>(&address),
-              static_cast<int>(length), &listener);
-    length = sizeof(address);
+  int count = 0;
+  while (count < max_count) {
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    const int socket = accept4(listening_socket, reinterpret_cast<sockaddr*>(&address), &length,
+                               SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket < 0) {
+      break;
+    }
+    add_connection(listener, socket, address);
+    ++count;
   }
+  return count;
+}
+
+void on_acceptable(evutil_socket_t, short, void* argument) {
+  http_listener& listener = *static_cast<http_listener*>(argument);
+  const int max_accepts = listener.options.max_accepts_per_iteration;
+  listener.backlogged = accept_connections(listener, max_accepts) == max_accepts;
+  listener.iterations_backlogged += listener.backlogged ? 1 : 0;
 }
 
 // Ends an exchange whose response is complete in the output buffer. Closes the connection
@@ -353,17 +371,24 @@
   listener->current_limits = std::move(current_limits);
   listener->handler = std::move(handler);
   listener->socket = evconnlistener_new_bind(
-      base, on_accept, listener.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, accept_backlog,
-      reinterpret_cast<sockaddr*>(&address), sizeof(address));
+      base, nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_DISABLED,
+      options.backlog, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   if (listener->socket == nullptr) {
     return setup_error("bind", options.address, std::strerror(errno));
   }
+  // A listener of libevent accepts until the backlog is empty, so its socket has its own event.
+  listener->acceptable.reset(event_new(base, evconnlistener_get_fd(listener->socket),
+                                       EV_READ | EV_PERSIST, on_acceptable, listener.get()));
+  event_add(listener->acceptable.get(), nullptr);
   return listener;
 }
 
 void stop_accepting(http_listener& listener) {
   if (listener.socket != nullptr) {
-    accept_pending_connections(listener);
+    // Closing the listening socket would reset the connections in the backlog, although their
+    // requests may already be in flight.
+    accept_connections(listener, listener.options.backlog + 1);
+    listener.acceptable.reset();
     evconnlistener_free(std::exchange(listener.socket, nullptr));
   }
 }
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -22,6 +22,10 @@
 // A response after which the listener closes the connection has `Connection: close`; the
 // others have `Keep-Alive: timeout=N`, where N is the idle timeout in seconds.
 //
+// A flood of connections does not delay the loop's other work: each iteration accepts
+// max_accepts_per_iteration at most. If a caller left while its connection waited, its request is
+// not passed to the handler.
+//
 // Limits: max_connections, beyond which new connections are closed at once; max_body_total
 // bytes of request bodies over all connections, beyond which a request is rejected with 503.
 // Thread safety: none; for use from one event loop.
@@ -51,6 +55,8 @@
 struct listener_options {
   std::string address;  // "10.0.0.7:8080"
   std::size_t max_connections = 3'000;
+  int max_accepts_per_iteration = 16;  // of the event loop; other connections stay in the backlog
+  int backlog = 256;                   // connections that wait to be accepted
   std::size_t max_body_total = 32 << 20;        // bytes of request bodies over all connections
   milliseconds response_write_timeout{10'000};  // until a connection's last response is written
 };
@@ -82,8 +88,9 @@
   std::string remote_address;
   instant first_byte_at{};
   instant idle_since{};
-  bool receiving_request = false;          // a request has started to arrive
-  bool close_after_response = false;       // after the current response
+  bool receiving_request = false;     // a request has started to arrive
+  bool close_after_response = false;  // after the current response
+  bool waited_in_backlog = false;     // the caller may have left before its first request was read
   bool body_ends_with_connection = false;  // the current response has neither length nor chunks
   bool lingering = false;                  // sending side is shut down; input is discarded
   std::string pending_output;              // head and body bytes that flush_output() writes next
@@ -96,6 +103,8 @@
   exchange_handler handler;
   std::function<caller_limits()> current_limits;  // of the configuration in force
   evconnlistener* socket = nullptr;
+  event_ptr acceptable;     // active while connections wait in the backlog
+  bool backlogged = false;  // the newest loop iteration accepted only a part of them
   std::set<http_connection*> connections;
   std::size_t total_body_bytes = 0;
   std::uint64_t next_exchange_id = 1;
@@ -103,7 +112,9 @@
   bool rejecting_connections = false;  // closes new connections
   // Closed because rejecting_connections was set; without those beyond max_connections.
   std::uint64_t connections_rejected = 0;
-  std::uint64_t requests_rejected = 0;  // rejected before the handler was called
+  std::uint64_t iterations_backlogged = 0;  // that accepted only a part of the backlog
+  std::uint64_t callers_left_unread = 0;    // left before their request was passed to the handler
+  std::uint64_t requests_rejected = 0;      // rejected before the handler was called
 
   http_listener() = default;
   http_listener(const http_listener&) = delete;
--- a/net/testing/http_client_listener_test.cc
+++ b/net/testing/http_client_listener_test.cc
@@ -50,6 +50,14 @@
 
 const std::string get_request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
 
+// A blocking socket that is connected to the port. Its connection may still wait to be accepted.
+int connect_socket(std::uint16_t port) {
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = testing::loopback(port);
+  REQUIRE(connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+  return socket;
+}
+
 struct client_fixture {
   event_base_ptr base{event_base_new()};
   testing::raw_server server;
@@ -335,3 +343,40 @@
     CHECK(fixture.client.idle_connections.empty());
   }
 }
+
+// Guards against the flooded router (docs/incidents/ashyq-esik-grown-fair.md): one loop iteration
+// accepted, and so read and answered, all connections of a flood.
+TEST_CASE("listener: a flood of connections waits in the backlog") {
+  listener_fixture fixture;
+  start_fixture(fixture);
+  const std::size_t max_accepts =
+      static_cast<std::size_t>(fixture.listener->options.max_accepts_per_iteration);
+  const std::size_t connection_count = 2 * max_accepts + 3;
+  std::vector<int> sockets;
+  for (std::size_t index = 0; index < connection_count; ++index) {
+    sockets.push_back(connect_socket(fixture.port));
+  }
+  event_base_loop(fixture.base.get(), EVLOOP_ONCE);
+  CHECK(fixture.listener->connections.size() == max_accepts);
+  CHECK(fixture.listener->backlogged);
+  SUBCASE("later iterations accept the others") {
+    CHECK(testing::run_until(fixture.base.get(), [&]() {
+      return fixture.listener->connections.size() == connection_count;
+    }));
+    testing::run_for(fixture.base.get(), milliseconds{20});
+    CHECK(fixture.listener->iterations_backlogged == 2);
+  }
+  SUBCASE("a call of a caller that left meanwhile is not handled") {
+    REQUIRE(send(sockets[connection_count - 2], get_request.data(), get_request.size(), 0) > 0);
+    close(sockets[connection_count - 2]);
+    REQUIRE(send(sockets[connection_count - 1], get_request.data(), get_request.size(), 0) > 0);
+    CHECK(wait_for_exchanges(fixture, 1));
+    testing::run_for(fixture.base.get(), milliseconds{20});
+    CHECK(fixture.exchanges.size() == 1);
+    CHECK(fixture.listener->callers_left_unread == 1);
+    sockets.erase(sockets.end() - 2);
+  }
+  for (int socket : sockets) {
+    close(socket);
+  }
+}
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -274,6 +274,8 @@
   caller_options.address = settings.callers_address;
   caller_options.max_connections = settings.max_connections;
   caller_options.max_body_total = settings.max_body_total;
+  caller_options.max_accepts_per_iteration = max_accepts_per_iteration;
+  caller_options.backlog = accept_backlog;
   BOOST_LEAF_ASSIGN(
       router.caller_listener,
       start_listener(
--- a/tools/peridot_experiment_main.cc
+++ b/tools/peridot_experiment_main.cc
@@ -19,9 +19,9 @@
 using peridot::experiment::routing_policy;
 using peridot::experiment::simulation_result;
 
-constexpr routing_policy all_policies[] = {routing_policy::peridot, routing_policy::no_admission,
-                                           routing_policy::least_connections,
-                                           routing_policy::rendezvous};
+constexpr routing_policy all_policies[] = {
+    routing_policy::peridot, routing_policy::unlimited_accepts, routing_policy::no_admission,
+    routing_policy::least_connections, routing_policy::rendezvous};
 
 bool write_file(const std::string& path, const std::string& text) {
   std::ofstream file(path);
