Settle what a limited organisation was served beyond the others

Ruled out: a faster estimate of the flood (the own rise of the last buckets times the peers that report the organisation).

Change: each router accumulates, for the organisations that are limited now, what they were served beyond their mean; it decays within six seconds. An organisation's level is the admission level less its surplus, within a quarter and twice of it.

--- a/core/routing/fair_share.cc
+++ b/core/routing/fair_share.cc
@@ -1,6 +1,7 @@
 #include "core/routing/fair_share.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "core/base/keep_first.h"
@@ -13,6 +14,15 @@
 constexpr double min_level_correction = 0.1;
 constexpr double max_level_correction = 2;
 
+// Time in which a surplus decays to 1/e: shares are judged over six seconds.
+constexpr milliseconds surplus_decay_time{6'000};
+// Bounds of an organisation's own level, relative to the admission level.
+constexpr double min_relative_level = 0.25;
+constexpr double max_relative_level = 2;
+constexpr double min_surplus_tokens = 1;
+
+constexpr duration window_length = share_bucket_width * share_bucket_count;
+
 std::int64_t bucket_at(instant now) {
   return std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) / share_bucket_width;
 }
@@ -47,6 +57,46 @@
   return share == std::numeric_limits<double>::infinity() ? 0 : share;
 }
 
+bool is_limited(const share_table& table, const token_usage& usage) {
+  return table.admission_level_per_window > 0 && usage.asked > table.admission_level_per_window;
+}
+
+// Adds to each limited organisation's surplus what it was served beyond their mean since the last
+// update. No organisation gains a surplus while it is the only one that is limited.
+void update_surpluses(share_table& table, instant now) {
+  const duration elapsed = std::min(now - table.surpluses_updated_at, window_length);
+  table.surpluses_updated_at = now;
+  double served = 0;
+  double limited_count = 0;
+  for (const std::pair<const std::uint64_t, token_usage>& entry : table.totals) {
+    served += is_limited(table, entry.second) ? entry.second.served : 0;
+    limited_count += is_limited(table, entry.second) ? 1 : 0;
+  }
+  const double windows_elapsed = to_ms(elapsed) / to_ms(window_length);
+  for (const std::pair<const std::uint64_t, token_usage>& entry : table.totals) {
+    if (is_limited(table, entry.second)) {
+      table.surpluses[entry.first] +=
+          (entry.second.served - served / limited_count) * windows_elapsed;
+    }
+  }
+  const double decay = std::exp(-to_ms(elapsed) / to_ms(surplus_decay_time));
+  for (std::pair<const std::uint64_t, double>& entry : table.surpluses) {
+    entry.second *= decay;
+  }
+  std::erase_if(table.surpluses, [](const std::pair<const std::uint64_t, double>& entry) {
+    return std::abs(entry.second) < min_surplus_tokens;
+  });
+}
+
+// The admission level of one organisation: that of all, less its surplus, so that the surplus is
+// settled in about one window.
+double level_of(const share_table& table, std::uint64_t organisation) {
+  const double level = table.admission_level_per_window;
+  auto found = table.surpluses.find(organisation);
+  const double surplus = found == table.surpluses.end() ? 0 : found->second;
+  return std::clamp(level - surplus, min_relative_level * level, max_relative_level * level);
+}
+
 // Tokens served to the organisation, divided by min(asked tokens, limit); 0 if there is no limit.
 double position(const share_table& table, const organisation_name& organisation, double limit) {
   if (limit <= 0) {
@@ -138,9 +188,8 @@
     asked_per_organisation.push_back(entry.second.asked);
     total_served += entry.second.served;
   }
-  const double window_seconds =
-      std::chrono::duration<double>(share_bucket_width * share_bucket_count).count();
-  const double stated_capacity = tokens_per_second * window_seconds;
+  const double stated_capacity =
+      tokens_per_second * std::chrono::duration<double>(window_length).count();
   table.fair_share_per_window = limit_or_zero(asked_per_organisation, stated_capacity);
   table.admission_level_per_window =
       stated_capacity <= 0
@@ -148,6 +197,7 @@
           : limit_or_zero(asked_per_organisation,
                           std::max(stated_capacity,
                                    admission_growth_factor(rounds_per_cycle) * total_served));
+  update_surpluses(table, now);
 }
 
 double share_position(const share_table& table, const organisation_name& organisation) {
@@ -155,12 +205,12 @@
 }
 
 double level_position(const share_table& table, const organisation_name& organisation) {
-  return position(table, organisation, table.admission_level_per_window);
+  return position(table, organisation, level_of(table, stable_hash(organisation.value)));
 }
 
 double admitted_fraction(const share_table& table, const organisation_name& organisation) {
   auto found = table.totals.find(stable_hash(organisation.value));
-  const double level = table.admission_level_per_window;
+  const double level = level_of(table, stable_hash(organisation.value));
   if (level <= 0 || found == table.totals.end() || found->second.asked <= level) {
     return 1;
   }
--- a/core/routing/fair_share.h
+++ b/core/routing/fair_share.h
@@ -21,6 +21,10 @@
 // sums of a window differ far less between routers than their views of the engines' queues do.
 // The margin lets the level rise until calls are refused for the engines' queues. It is smaller
 // the more rounds a gossip cycle takes, as a router's view of the queues is older then.
+//
+// An organisation that starts to flood gets more than the level until all routers know what it
+// asks for. That surplus over the other limited organisations is settled in the following
+// seconds: its own level is lower meanwhile, and theirs are higher.
 // Memory: counts older than the window are dropped, and a peer's report when it expires.
 // Thread safety: none; for use from one event loop.
 #pragma once
@@ -64,6 +68,10 @@
   double fair_share_per_window = 0;             // tokens; 0: no organisation is limited
   double admission_level_per_window = 0;        // likewise; at least the fair share
   std::map<std::uint64_t, token_usage> totals;  // of all routers, by hash of the organisation
+  // Tokens that an organisation was served beyond the mean of all limited ones while it was one of
+  // them; negative if it was served less. By hash of the organisation; decays.
+  std::map<std::uint64_t, double> surpluses;
+  instant surpluses_updated_at{};
 };
 
 // Weighted tokens of a call: a prompt token counts once, an output token
@@ -87,8 +95,9 @@
 // The served tokens times this factor are the capacity that the admission level divides.
 double admission_growth_factor(std::size_t rounds_per_cycle);
 
-// Recomputes the totals, the fair share and the admission level. `tokens_per_second`: stated
-// capacity of all engines; 0: unknown. `rounds_per_cycle`: of gossip, at least 1.
+// Recomputes the totals, the fair share, the admission level and the surpluses.
+// `tokens_per_second`: stated capacity of all engines; 0: unknown. `rounds_per_cycle`: of gossip,
+// at least 1.
 void update_fair_share(share_table& table, double tokens_per_second, std::size_t rounds_per_cycle,
                        instant now);
 
@@ -97,11 +106,11 @@
 // or their capacity is unknown.
 double share_position(const share_table& table, const organisation_name& organisation);
 
-// The tokens served to the organisation in the window, divided by min(asked tokens, admission
+// The tokens served to the organisation in the window, divided by min(asked tokens, its admission
 // level); 0 if the level limits no organisation.
 double level_position(const share_table& table, const organisation_name& organisation);
 
-// The fraction of its calls to admit, so that the organisation is served about the admission
+// The fraction of its calls to admit, so that the organisation is served about its admission
 // level: the level over the asked tokens, more if it was served less than the level and less if
 // it was served more. 1 if it asks for less or if the level limits no organisation.
 double admitted_fraction(const share_table& table, const organisation_name& organisation);
--- a/core/testing/shares_and_members_test.cc
+++ b/core/testing/shares_and_members_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <map>
 #include <numeric>
@@ -116,6 +117,64 @@
   CHECK(usage_report(table, 10'000).size() == 1'201);
 }
 
+// Guards against the first second of a flood (docs/incidents/ashyq-esik-grown-fair.md): what an
+// organisation was served before the routers knew of its flood was never settled.
+TEST_CASE("a surplus over the other limited organisations is settled") {
+  const organisation_name early{"early"};
+  const organisation_name late{"late"};
+  const organisation_name small{"small"};
+  share_table table;
+  instant now = start;
+  const std::function<void(double, double)> serve_for_a_window = [&](double early_served,
+                                                                     double late_served) {
+    for (std::size_t bucket = 0; bucket < share_bucket_count; ++bucket) {
+      now += share_bucket_width;
+      record_asked_tokens(table, early, 5'000, now);
+      record_served_tokens(table, early, early_served / share_bucket_count, now);
+      record_asked_tokens(table, late, late_served > 0 ? 5'000 : 0, now);
+      record_served_tokens(table, late, late_served / share_bucket_count, now);
+      record_asked_tokens(table, small, 100, now);
+      record_served_tokens(table, small, 100, now);
+      update_fair_share(table, 10'000, 6, now);
+    }
+  };
+  serve_for_a_window(16'000, 0);
+  SUBCASE("an organisation that is the only limited one gains none") {
+    CHECK(table.surpluses.empty());
+  }
+  serve_for_a_window(4'000, 16'000);
+  const double level = table.admission_level_per_window;
+  REQUIRE(level > 0);
+  SUBCASE("the one that was served more has a lower level, the other one a higher level") {
+    const double surplus = table.surpluses.at(stable_hash(late.value));
+    CHECK(surplus > 0);
+    CHECK(table.surpluses.at(stable_hash(early.value)) == doctest::Approx(-surplus));
+    CHECK(level_position(table, late) == doctest::Approx(16'000 / (level - surplus)));
+    CHECK(level_position(table, early) == doctest::Approx(4'000 / (level + surplus)));
+    CHECK(admitted_fraction(table, late) < admitted_fraction(table, early));
+  }
+  SUBCASE("an organisation below the level is not affected") {
+    CHECK(admitted_fraction(table, small) == 1);
+    CHECK_FALSE(table.surpluses.contains(stable_hash(small.value)));
+  }
+  SUBCASE("levels stay within their bounds, however large the surplus") {
+    for (int window = 0; window < 5; ++window) {
+      serve_for_a_window(10, 24'000);
+    }
+    const double level_now = table.admission_level_per_window;
+    CHECK(level_position(table, late) ==
+          doctest::Approx(24'000 / (0.25 * level_now)).epsilon(0.01));
+    CHECK(level_position(table, early) == doctest::Approx(10 / (2 * level_now)).epsilon(0.01));
+  }
+  SUBCASE("once nothing is limited, surpluses decay") {
+    for (int window = 0; window < 60; ++window) {
+      now += share_bucket_width * share_bucket_count;
+      update_fair_share(table, 10'000, 6, now);
+    }
+    CHECK(table.surpluses.empty());
+  }
+}
+
 // Guards against incident inc1: above the fair share, what an organisation got grew with what it
 // sent, and others got less than half of it.
 TEST_CASE("the admission level shares what the engines serve beyond the stated capacity") {
