--- a/core/calls/call.h
+++ b/core/calls/call.h
@@ -24,6 +24,7 @@
   double max_output_tokens = 0;
   double expected_output_tokens = 0;    // the caller's estimate; often far off
   std::vector<prompt_prefix> prefixes;  // shortest first; the last is the whole prompt
+  std::vector<std::uint64_t> parts;     // ids of the segments, in the order of the prompt
 };
 
 struct call_request {
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -252,8 +252,8 @@
   log_line(log_part::target, log_level::warn,
            "Call failed after it may have been sent to the target. call=" + call.request.id +
                " target=" + call.current_attempt->target.value + " cause=\"" + cause +
-               "\" framing=" + to_text(call.current_attempt->response_head.framing) +
-               " events=" + std::to_string(call.events_forwarded));
+               "\" framing=" + to_text(call.current_attempt->response_head.framing) + " events=" +
+               std::to_string(call.events_forwarded) + " parts=" + parts_text(call.request));
   record_interrupted_call(call);
   const bool may_retry = can_continue_elsewhere(call);
   end_attempt(call, call_result::incomplete_response);
--- a/router/call_end.cc
+++ b/router/call_end.cc
@@ -1,5 +1,6 @@
 // Ends calls: the final response to the caller, the log line, the metrics.
 
+#include <cinttypes>
 #include <cstdio>
 
 #include "core/base/check.h"
@@ -87,6 +88,18 @@
 
 }  // namespace
 
+std::string parts_text(const call_request& request) {
+  std::string text;
+  if (request.call_prompt.has_value()) {
+    for (std::uint64_t part : request.call_prompt->parts) {
+      char id[2 * sizeof(part) + 1];
+      std::snprintf(id, sizeof(id), "%" PRIx64, part);
+      text += (text.empty() ? "" : ",") + std::string(id);
+    }
+  }
+  return text.empty() ? "-" : text;
+}
+
 std::string ms_text(duration time) {
   return std::to_string(static_cast<std::int64_t>(to_ms(time)));
 }
