Reproduce a part of prompts that crashes targets (fails, KNOWN-RED)

Three calls, no two alike but for one part of the prompt, each end their target; the following calls with that part are answered 502 and reach three more targets. Expected: refused as not run, while calls with the other parts go on.

--- /dev/null
+++ b/router/testing/crash_suspects_test.cc
@@ -0,0 +1,70 @@
+// What callers and targets see while a part of prompts crashes targets, through the call path of
+// one router.
+#include <doctest/doctest.h>
+
+#include "router/testing/router_fixture.h"
+
+using namespace peridot;
+using namespace peridot::testing;
+
+namespace {
+
+const std::string whole_stream =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "d\r\nid: 1\ndata: a\r\n2\r\n\n\n\r\n0\r\n\r\n";
+
+// Headers of a call with a prompt of these parts. The last part belongs to the call itself.
+std::string prompt_headers(const std::string& parts) {
+  static int call_number = 0;
+  const std::string own_part = std::to_string(10'000 + ++call_number);
+  return "X-Peridotspur-Model: m\r\nX-Peridotspur-Token-Counts: 900,20\r\n"
+         "X-Peridotspur-Prompt-Prefix: " +
+         parts + "," + own_part + ":300\r\n";
+}
+
+// Sends a call whose target closes the connection without a response, as a crashed one does.
+caller_view call_that_crashes(router_fixture& fixture, const std::string& path,
+                              const std::string& parts) {
+  fixture.targets.script.resize(fixture.targets.requests.size());
+  fixture.targets.script.push_back({"", connection_end::closed});
+  return call(fixture, path, "HTTP/1.1", prompt_headers(parts));
+}
+
+caller_view call_that_completes(router_fixture& fixture, const std::string& path,
+                                const std::string& parts) {
+  fixture.targets.script.resize(fixture.targets.requests.size());
+  fixture.targets.script.push_back({whole_stream, connection_end::left_open});
+  return call(fixture, path, "HTTP/1.1", prompt_headers(parts));
+}
+
+}  // namespace
+
+// Guards against incident second1 of ashyq-esik: calls with one part in their prompts, no two of
+// them alike, crashed targets one after the other and were sent to the next ones without end.
+TEST_CASE("calls with a part that crashes targets are refused after a few crashes") {
+  router_fixture fixture;
+  start(fixture, 6);
+  const std::string head = "aa01:200,";
+  call_that_completes(fixture, "/stream/", "aa01:200");
+  for (int crash = 0; crash < 3; ++crash) {
+    const caller_view view = call_that_crashes(fixture, "/stream/", head + "bad1:400");
+    CHECK(view.status == 502);
+    run_for(fixture.router.base.get(), milliseconds{300});  // targets crash one after the other
+  }
+  const std::size_t sends_before = fixture.targets.requests.size();
+  SUBCASE("whatever else they hold, before or after the part") {
+    for (const char* parts : {"aa01:200,bad1:400", "bad1:400", "cc07:10,bad1:400,cc08:90"}) {
+      const caller_view view = call_that_crashes(fixture, "/stream/", parts);
+      CHECK(view.status == 503);
+      CHECK(view.complete);
+    }
+    CHECK(fixture.targets.requests.size() == sends_before);
+    CHECK(ended_calls(fixture, "refused", "suspect") == 3);
+  }
+  SUBCASE("calls with the same other parts go on") {
+    const caller_view view = call_that_completes(fixture, "/stream/", "aa01:200");
+    CHECK(view.status == 200);
+    CHECK(view.complete);
+    CHECK(fixture.targets.requests.size() == sends_before + 1);
+  }
+}
