Tell calls that crash targets by the parts of their prompts

Cause: a suspect was a fingerprint of the whole request, and no two of these calls are alike. Besides, a crash counted only if the same router failed to connect to the target within a second, and counts were kept per router, so that a restart lost them. The class: an inference about a shared cause that was drawn from the identity of single requests and from local evidence.

Change: the routers share events, one for each target that broke calls off, with the signatures of these calls: the fingerprint, and each part of the prompt but the last. Signatures are cleared by complete responses; the others are suspects once they explain three events of different calls (five if they were served before, or if most crashes meanwhile are not theirs). Suspects are refused at once, withdrawn from targets that have not begun them, not retried, and tried again by one call after 90 s. Events are passed on by every router, with the time since the crash.

Ruled out in the simulated fleet of core/testing/crash_suspects_test.cc: counting each interrupted call's parts without completions (bystanders), a window of 250 ms for simultaneous crashes (a burst of 15 bad calls a second then counts as two or three), events of one call that is sent again as several (rare sound parts became suspects where targets crash by themselves).

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -219,6 +219,9 @@
     }
     return;
   }
+  if (connection.call != nullptr) {
+    connection.call->connection_lost = true;
+  }
   close_with_error(connection, (events & BEV_EVENT_EOF) != 0
                                    ? "connection closed"
                                    : evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
@@ -322,6 +325,7 @@
   handle->connection = connection;
   expect_response(*connection);
   if (reused) {
+    handle->reused_connection = true;
     handle->may_have_sent = true;
     write_now(connection->stream, serialize_request(handle->request));
     set_timeout(*connection, handle->request.idle_timeout);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -78,7 +78,9 @@
   client_connection* connection = nullptr;  // null once the call has ended
   bool may_have_sent = false;               // connected: bytes of the request may have left
   bool paused = false;
-  std::string problem;  // why the call failed, for logs
+  bool reused_connection = false;
+  bool connection_lost = false;  // closed or reset by the server, or unusable, before the end
+  std::string problem;           // why the call failed, for logs
 };
 
 struct client_connection {
--- a/net/metrics.h
+++ b/net/metrics.h
@@ -58,6 +58,10 @@
   // By name. Bounded by the number of organisations in all configurations of the process's life.
   std::map<std::string, organisation_counters> organisations;
   std::uint64_t retries = 0;
+  std::uint64_t crash_evidence = 0;  // calls broken off by targets that may have crashed
+  std::uint64_t suspects_found = 0;  // what calls that crash targets have in common
+  std::uint64_t suspects_ended = 0;
+  std::uint64_t suspect_trials = 0;
   std::uint64_t retries_denied = 0;  // by the retry budget
   std::uint64_t aborted_responses = 0;
   std::uint64_t caller_disconnects = 0;
--- a/router/call_arrival.cc
+++ b/router/call_arrival.cc
@@ -105,8 +105,9 @@
   call.matched_route = matched_route;
   call.organisation =
       calling_organisation == nullptr ? organisation_name{} : calling_organisation->name;
-  call.fingerprint = request_fingerprint(call.organisation, path_of(exchange->head.request_target),
-                                         exchange->body);
+  call.signatures =
+      call_signatures(call.organisation, path_of(exchange->head.request_target), exchange->body,
+                      call.request.call_prompt.has_value() ? &*call.request.call_prompt : nullptr);
   call.arrived_at = exchange->first_byte_at;
   call.deadline =
       call.arrived_at + std::min(call.request.caller_timeout.value_or(matched_route->timeout),
@@ -133,8 +134,7 @@
   if (call == nullptr) {
     return;
   }
-  if (is_refused_for_crashes(router.crash_suspects, call->fingerprint)) {
-    end_with_refusal(*call, refusal::suspect, duration{0});
+  if (refuse_if_suspect(*call)) {
     return;
   }
   set_caller_handlers_and_deadline_timer(*call);
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -111,6 +111,7 @@
   const instant now = current_time();
   if (!call.current_attempt->first_event_forwarded) {
     call.current_attempt->first_event_forwarded = true;
+    call.current_attempt->first_event_at = now;
     record_first_token(call.router->loads, call.current_attempt->target,
                        call.current_attempt->added_load, now);
   }
@@ -223,6 +224,7 @@
     start_caller_response(call, std::nullopt);
   }
   send_response_data(*call.exchange, call.current_attempt->splitter.pending);
+  record_completed_call(call);
   end_attempt(call, call_result::success);
   finish_response(*call.exchange);
   end_answered(call, 200);
@@ -235,6 +237,9 @@
   if (!call.request.call_prompt.has_value() && status < min_server_error_status) {
     record_service_time(call.router->loads, current.target, current_time() - current.sent_at);
   }
+  if (status < min_server_error_status) {
+    record_completed_call(call);
+  }
   if (!current.forwarding_unbuffered) {
     start_caller_response(call, current.buffered_body.size());
     send_response_data(*call.exchange, current.buffered_body);
@@ -246,15 +251,17 @@
 }
 
 // The attempt failed after the call may have been sent: the connection broke or timed out, or
-// the response was invalid or incomplete.
-void on_failed_after_send(active_call& call, const std::string& cause) {
+// the response was invalid or incomplete. `target_lost`: the target ended it, maybe by a crash.
+void on_failed_after_send(active_call& call, const std::string& cause, bool target_lost) {
   call.may_have_run = true;
   log_line(log_part::target, log_level::warn,
            "Call failed after it may have been sent to the target. call=" + call.request.id +
                " target=" + call.current_attempt->target.value + " cause=\"" + cause +
                "\" framing=" + to_text(call.current_attempt->response_head.framing) + " events=" +
                std::to_string(call.events_forwarded) + " parts=" + parts_text(call.request));
-  record_interrupted_call(call);
+  if (target_lost) {
+    record_interrupted_call(call);
+  }
   const bool may_retry = can_continue_elsewhere(call);
   end_attempt(call, call_result::incomplete_response);
   if (may_retry && try_acquire_retry(call)) {
@@ -273,7 +280,7 @@
     forward_event(call, event, id);
   });
   if (is_cut_stream(current)) {
-    on_failed_after_send(call, "stream ended within an event or before its first");
+    on_failed_after_send(call, "stream ended within an event or before its first", true);
   } else {
     finish_stream(call);
   }
@@ -298,7 +305,8 @@
       on_target_unreachable(call);
       return;
     case client_call_result::failed_after_send:
-      on_failed_after_send(call, call.current_attempt->target_call->problem);
+      on_failed_after_send(call, call.current_attempt->target_call->problem,
+                           call.current_attempt->target_call->connection_lost);
       return;
     case client_call_result::complete:
       break;
--- a/router/call_end.cc
+++ b/router/call_end.cc
@@ -88,13 +88,17 @@
 
 }  // namespace
 
+std::string hex_text(std::uint64_t value) {
+  char text[2 * sizeof(value) + 1];
+  std::snprintf(text, sizeof(text), "%" PRIx64, value);
+  return text;
+}
+
 std::string parts_text(const call_request& request) {
   std::string text;
   if (request.call_prompt.has_value()) {
     for (std::uint64_t part : request.call_prompt->parts) {
-      char id[2 * sizeof(part) + 1];
-      std::snprintf(id, sizeof(id), "%" PRIx64, part);
-      text += (text.empty() ? "" : ",") + std::string(id);
+      text += (text.empty() ? "" : ",") + hex_text(part);
     }
   }
   return text.empty() ? "-" : text;
--- a/router/call_internal.h
+++ b/router/call_internal.h
@@ -3,7 +3,7 @@
 //   call_arrival.cc    finds its route, organisation and deadline
 //   call_placement.cc  chooses its target, refuses it, ends an attempt, or allows a retry
 //   call_attempt.cc    sends it to the target and forwards the response to the caller
-//   call_crashes.cc    detects targets that crash while they run it
+//   call_crashes.cc    refuses it if such calls crash targets
 //   call_end.cc        sends the error response if there is one, logs the call and counts it
 //
 // Internal to router/.
@@ -62,6 +62,8 @@
 // Ids of the parts of the call's prompt, for logs: hexadecimal, "-" if it has no prompt.
 std::string parts_text(const call_request& request);
 
+std::string hex_text(std::uint64_t value);
+
 // Whole milliseconds, for logs.
 std::string ms_text(duration time);
 
@@ -74,12 +76,25 @@
 // The state is created on first use.
 pool_state& pool_state_of(router_state& router, const pool_name& name);
 
-// Records that the current attempt failed after the call may have been sent. It counts as a
-// crash of the target if a new connection to it fails soon afterwards.
+// Records that the target broke the current attempt off. It may have crashed, and the call may be
+// what crashed it.
 void record_interrupted_call(active_call& call);
 
-// Connecting to the target failed. It may have restarted, so it counts as cold from now
-// on, and the calls that it interrupted shortly before count as crashes.
+// Records that a target has completed the call.
+void record_completed_call(const active_call& call);
+
+// Computes the suspects anew. Withdraws calls that have become suspect from their targets, in a
+// later loop iteration.
+void update_crash_suspects(router_state& router);
+
+// Refuses the call if such calls crash targets, unless it is due as a trial. True if it was
+// refused.
+bool refuse_if_suspect(active_call& call);
+
+// True if the call may be sent to another target, as far as crashes of targets are concerned.
+bool may_retry_after_crashes(const active_call& call);
+
+// Connecting to the target failed. It may have restarted, so it counts as cold from now on.
 void handle_unreachable_target(router_state& router, const target_name& target);
 
 }  // namespace peridot
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -375,8 +375,7 @@
 bool try_acquire_retry(active_call& call) {
   router_state& router = *call.router;
   if (call.sends >= call.matched_route->max_attempts ||
-      call.deadline - current_time() < min_time_left_to_send ||
-      is_refused_for_crashes(router.crash_suspects, call.fingerprint)) {
+      call.deadline - current_time() < min_time_left_to_send || !may_retry_after_crashes(call)) {
     return false;
   }
   const pool* target_pool = choose_pool(call);
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -7,7 +7,7 @@
 #include "core/base/stable_hash.h"
 #include "core/fleet/peer_messages.h"
 #include "net/log.h"
-#include "router/router_state.h"
+#include "router/call_internal.h"
 
 namespace peridot {
 namespace {
@@ -17,7 +17,8 @@
 // platform requires changes to take effect. Also the shortest time between two requests to
 // any peers.
 constexpr milliseconds items_request_delay{500};
-constexpr std::size_t max_reported_crashes = 64;
+constexpr std::size_t max_reported_signatures = 96;
+constexpr std::size_t max_reported_completions = 48;
 constexpr std::size_t max_reported_organisations = 256;
 
 std::uint32_t target_hash(const target_name& target) {
@@ -72,15 +73,54 @@
   }
 }
 
-void add_crash_counts(const router_state& router, wire::gossip& gossip) {
-  for (const std::pair<const std::uint64_t, crash_suspect>& entry :
-       router.crash_suspects.by_fingerprint) {
-    if (entry.second.own_crashes > 0 &&
-        gossip.crashes_size() < static_cast<int>(max_reported_crashes)) {
-      wire::crash_report& report = *gossip.add_crashes();
-      report.set_fingerprint(entry.first);
-      report.set_crashes(static_cast<std::uint32_t>(entry.second.own_crashes));
+std::uint32_t age_ms(instant at, instant now) {
+  return static_cast<std::uint32_t>(std::max(0.0, to_ms(now - at)));
+}
+
+// Adds crash events, and the completions that clear signatures of such events.
+void add_crash_reports(const router_state& router, wire::gossip& gossip, instant now) {
+  for (const crash_event& event :
+       events_to_report(router.crash_suspects, max_reported_signatures, now)) {
+    wire::crash_event& report = *gossip.add_crash_events();
+    report.set_target(event.target);
+    report.set_age_ms(age_ms(event.at, now));
+    for (const std::pair<const std::uint64_t, std::uint64_t>& entry : event.signatures) {
+      report.add_signatures(entry.first);
+      report.add_fingerprints(entry.second);
+    }
+    for (const router_address& reporter : event.reporters) {
+      report.add_reporters(reporter.value);
+    }
+  }
+  for (const std::pair<std::uint64_t, instant>& completion :
+       completions_to_report(router.crash_suspects, max_reported_completions)) {
+    wire::completed_call& report = *gossip.add_completions();
+    report.set_signature(completion.first);
+    report.set_age_ms(age_ms(completion.second, now));
+  }
+}
+
+// Completions come first, so that what they clear is not added.
+void apply_crash_reports(router_state& router, const wire::gossip& gossip, instant now) {
+  for (const wire::completed_call& report : gossip.completions()) {
+    record_completion(router.crash_suspects, {report.signature()},
+                      now - milliseconds{report.age_ms()});
+  }
+  for (const wire::crash_event& report : gossip.crash_events()) {
+    crash_event event;
+    event.target = report.target();
+    event.at = now - milliseconds{report.age_ms()};
+    const int count = std::min(report.signatures_size(), report.fingerprints_size());
+    for (int index = 0; index < count; ++index) {
+      event.signatures.emplace(report.signatures(index), report.fingerprints(index));
     }
+    for (const std::string& reporter : report.reporters()) {
+      event.reporters.insert(router_address{reporter});
+    }
+    record_crash(router.crash_suspects, event, now);
+  }
+  if (gossip.crash_events_size() + gossip.completions_size() > 0) {
+    update_crash_suspects(router);
   }
 }
 
@@ -177,10 +217,7 @@
   }
   update_peer_usage(router.shares, from.address, std::move(reported_usage),
                     now + router.membership.report_ttl);
-  for (const wire::crash_report& report : gossip.crashes()) {
-    update_peer_crashes(router.crash_suspects, report.fingerprint(), from.address,
-                        static_cast<int>(report.crashes()), now);
-  }
+  apply_crash_reports(router, gossip, now);
   update_peer_store_state(router, from.address, gossip.store_disturbed(), now);
   auto sender = router.membership.peers.find(from.address);
   if (sender != router.membership.peers.end()) {
@@ -287,7 +324,7 @@
   }
   add_target_loads(router, gossip);
   add_organisation_usage(router, gossip);
-  add_crash_counts(router, gossip);
+  add_crash_reports(router, gossip, now);
   std::vector<router_address> peers_with_full_list;
   for (const router_address& peer : round.peers) {
     if (needs_full_peer_list(router.membership, peer)) {
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -190,7 +190,7 @@
                     router.membership.rounds_per_cycle, now);
   log_shares(router, now);
   expire_peer_loads(router.loads, now);
-  expire_crash_suspects(router.crash_suspects, now);
+  update_crash_suspects(router);
   platform::set_live_peer_count(router.store_client, live_peer_count(router.membership, now), now);
   close_stale_connections(router.target_client, now);
   close_stale_connections(router.store_client.http, now);
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -39,6 +39,7 @@
   call_load added_load;
   instant sent_at{};
   bool first_event_forwarded = false;
+  instant first_event_at{};
   message_head response_head;
   // Body of a non-streaming response, until it is complete or exceeds the buffer limit.
   std::string buffered_body;
@@ -58,7 +59,8 @@
   std::shared_ptr<const fleet_config> config;  // in force when it arrived
   const route* matched_route = nullptr;        // points into `config`
   organisation_name organisation;
-  std::uint64_t fingerprint = 0;
+  std::vector<std::uint64_t> signatures;  // see core/routing/crash_suspects.h
+  bool is_trial = false;                  // sent although it is suspected of crashing targets
   instant arrived_at{};
   // The earlier of the caller's deadline and the end of the route's timeout.
   instant deadline{};
@@ -87,14 +89,6 @@
   bool reading_paused = false;
 };
 
-// A call that failed after it may have been sent to the target. It counts as a crash if a
-// new connection to the target fails soon afterwards.
-struct interrupted_call {
-  target_name target;
-  std::uint64_t fingerprint = 0;
-  instant interrupted_at{};
-};
-
 struct pool_state {
   retry_budget budget;
   double failure_rate = 0;  // over all targets of the pool, moving average
@@ -124,7 +118,6 @@
   overload_state overload;
   crash_suspect_table crash_suspects;
   std::map<pool_name, pool_state> pools;
-  std::vector<interrupted_call> interrupted_calls;
   std::unordered_map<std::uint32_t, target_name> target_by_hash;  // hashes as in gossip
   std::uint64_t target_by_hash_generation = 0;  // of the target table it was built from
   std::uint64_t cleanup_generation = 0;         // of the target table at the last cleanup
