End responses of targets and the store that never end

Callers saw: the deadline in place of an error at once, where a target sent interim responses or a response to another call without end. Routers read such bytes at 100 to 350 MB a second until the deadline, which fills a router of 0.12 cores, and kept the body of a store's response whole: 362 MB before the test was stopped, where 88 to 110 MB are the limit of an instance.

Cause: the client of targets and store limited one head, and nothing across heads, skipped responses and bodies. An event stream limited one event, not their number.

Change: a call fails once more than 16 interim responses or 4 MB without an announced length have arrived, or if a length above 64 MB is announced; a stream also after 16,384 events, comments included. Complete responses that such bytes follow stay complete, as before.

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -16,6 +16,8 @@
 // Fraction of the server's idle timeout for which an idle connection may be reused.
 constexpr double reusable_idle_fraction = 0.6;
 constexpr std::size_t max_input_buffer_bytes = 256 << 10;
+// Servers send none to a few: 100 Continue, 102 Processing, 103 Early Hints.
+constexpr int max_interim_responses = 16;
 constexpr std::size_t max_idle_connections_per_address = 64;
 // Detects servers that no longer acknowledge data.
 constexpr unsigned int tcp_user_timeout_ms = 3'000;
@@ -143,12 +145,39 @@
   connection.head_delivered = false;
 }
 
+// Why what was received for the call is no response that can end; empty if it may be one.
+std::string endless_response_problem(const client_connection& connection) {
+  const client_call& call = *connection.call;
+  const message_head& head = connection.parser.head;
+  const bool announced = connection.parser.head_complete && head.framing == body_framing::length;
+  if (call.interim_responses > max_interim_responses) {
+    return "too many interim responses";
+  }
+  if (announced && head.content_length > call.request.max_announced_body_bytes) {
+    return "announced length above the limit";
+  }
+  const std::uint64_t announced_bytes =
+      announced && !connection.skipping_response
+          ? head.content_length - connection.parser.body_bytes_left
+          : 0;
+  if (call.received_bytes - announced_bytes > call.request.max_unannounced_bytes) {
+    return "response without end";
+  }
+  const milliseconds max_duration = call.request.max_duration;
+  return max_duration > milliseconds{0} && current_time() - call.started_at > max_duration
+             ? "response takes too long"
+             : "";
+}
+
 // Parses the input up to the end of one response. True if that response was skipped, so
 // that the next one has to be parsed.
 bool parse_step(client_connection& connection) {
   http_parser& parser = connection.parser;
   const bool head_was_complete = parser.head_complete;
-  const parse_status status = parse_input(parser, bufferevent_get_input(connection.stream));
+  evbuffer* input = bufferevent_get_input(connection.stream);
+  const std::size_t length_before = evbuffer_get_length(input);
+  const parse_status status = parse_input(parser, input);
+  connection.call->received_bytes += length_before - evbuffer_get_length(input);
   if (status == parse_status::malformed || status == parse_status::head_too_large) {
     close_with_error(connection, "malformed response: " + parser.problem);
     return false;
@@ -160,11 +189,19 @@
     const bool interim = parser.head.status < 200;
     const bool for_this_call = is_response_to_call(connection);
     connection.skipping_response = interim || !for_this_call;
+    connection.call->interim_responses += interim ? 1 : 0;
     if (!interim && !for_this_call) {
       ++connection.client->responses_skipped;
       connection.must_close = true;
     }
   }
+  const std::string problem = status == parse_status::complete && !connection.skipping_response
+                                  ? ""
+                                  : endless_response_problem(connection);
+  if (!problem.empty()) {
+    close_with_error(connection, problem);
+    return false;
+  }
   if (connection.skipping_response) {
     parser.body.clear();
     if (status != parse_status::complete) {
@@ -314,6 +351,7 @@
                                         call_handlers handlers) {
   std::shared_ptr<client_call> handle = std::make_shared<client_call>();
   handle->client = &client;
+  handle->started_at = current_time();
   handle->request = std::move(request);
   handle->handlers = std::move(handlers);
   client_connection* connection = acquire_idle_connection(client, handle->request);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -58,6 +58,13 @@
   // Longest idle time of a connection that may be reused; 0: always opens a new connection.
   milliseconds max_reuse_idle_time{0};
   std::size_t max_head_bytes = 64 << 10;
+  // Bytes received for the call: heads, interim and skipped responses, and a body without an
+  // announced length. Beyond them the server is taken for one that sends without end, and the call
+  // fails.
+  std::size_t max_unannounced_bytes = 4 << 20;
+  std::uint64_t max_announced_body_bytes = 64 << 20;  // of a body with an announced length
+  // Longest time from the start of the call to the end of the response; 0: none.
+  milliseconds max_duration{0};
 };
 
 enum class client_call_result { complete, not_sent, failed_after_send };
@@ -81,6 +88,9 @@
   bool reused_connection = false;
   bool connection_lost = false;  // closed or reset by the server, or unusable, before the end
   std::string problem;           // why the call failed, for logs
+  instant started_at{};
+  std::uint64_t received_bytes = 0;  // heads and bodies, also of interim and skipped responses
+  int interim_responses = 0;
 };
 
 struct client_connection {
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -30,6 +30,9 @@
 constexpr milliseconds min_inactivity_timeout{400};
 constexpr milliseconds default_max_event_gap{500};
 constexpr int min_server_error_status = 500;
+// Of one response, comments included. Engines generate fewer tokens; a target that sends more sends
+// without end.
+constexpr int max_events_per_response = 16'384;
 
 bool is_event_stream(const active_call& call, const message_head& head) {
   const std::string_view content_type = find_header(head.headers, "Content-Type");
@@ -190,9 +193,11 @@
   if (current.is_stream) {
     const bool within_limit = feed_events(
         current.splitter, data, [&call](std::string_view event, std::optional<std::uint64_t> id) {
-          forward_event(call, event, id);
+          if (++call.current_attempt->events_received <= max_events_per_response) {
+            forward_event(call, event, id);
+          }
         });
-    if (!within_limit) {
+    if (!within_limit || current.events_received > max_events_per_response) {
       end_attempt(call, call_result::incomplete_response);
       if (call.response_started) {
         end_with_aborted_response(call, refusal::target_malformed);
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -47,6 +47,7 @@
   bool forwarding_unbuffered = false;
   bool is_stream = false;
   event_splitter splitter;
+  int events_received = 0;     // comments included
   bool ignore_result = false;  // the result must not count against the target
 };
 
