--- a/router/testing/crash_suspects_test.cc
+++ b/router/testing/crash_suspects_test.cc
@@ -2,6 +2,7 @@
 // one router.
 #include <doctest/doctest.h>
 
+#include "router/call_internal.h"
 #include "router/testing/router_fixture.h"
 
 using namespace peridot;
@@ -70,3 +71,77 @@
     CHECK(fixture.targets.requests.size() == sends_before + 1);
   }
 }
+
+namespace {
+
+constexpr std::uint64_t bad_part = 0xbad1;
+
+// Three targets crashed while they ran calls with the bad part, the newest one `age` ago.
+void learn_of_crashes(router_fixture& fixture, duration age) {
+  router_state& router = fixture.router;
+  const instant now = current_time();
+  for (std::uint64_t number = 0; number < 3; ++number) {
+    const instant at = now - age - std::chrono::seconds{2 - static_cast<int>(number)};
+    record_crash(router.crash_suspects,
+                 make_crash_event(target_name{"gone-" + std::to_string(number)}, at,
+                                  {number, bad_part}, router_address{"10.0.0.9:7400"}),
+                 now);
+  }
+  update_crash_suspects(router);
+}
+
+}  // namespace
+
+TEST_CASE("a call with a part that crashed targets before is not sent to the next one") {
+  router_fixture fixture;
+  start(fixture, 6);
+  const scripted_response crash_response{"", connection_end::closed};
+  fixture.targets.script = {crash_response, crash_response, crash_response, crash_response};
+  CHECK(call(fixture, "/resumable/", "HTTP/1.1", prompt_headers("bad1:400")).status == 502);
+  CHECK(fixture.targets.requests.size() == 2);  // may have been a bystander: retried once
+  run_for(fixture.router.base.get(), same_crash_window + milliseconds{50});
+  CHECK(call(fixture, "/resumable/", "HTTP/1.1", prompt_headers("bad1:400")).status == 502);
+  CHECK(fixture.targets.requests.size() == 3);
+}
+
+TEST_CASE("calls that have become suspect are withdrawn from targets that have not begun them") {
+  router_fixture fixture;
+  start(fixture, 2);
+  raw_caller caller;
+  connect_caller(fixture.router.base.get(), caller, fixture.port);
+  send_raw(caller,
+           "GET /resumable/1 HTTP/1.1\r\nHost: app.example\r\nX-Peridotspur-Attempt-Id: c1\r\n" +
+               prompt_headers("bad1:400") + "\r\n");
+  REQUIRE(run_until(fixture.router.base.get(),
+                    [&fixture]() { return fixture.targets.requests.size() == 1; }));
+  learn_of_crashes(fixture, milliseconds{500});
+  run_for(fixture.router.base.get(), milliseconds{50});
+  const caller_view view = decode_response_of(caller);
+  CHECK(view.status == 502);
+  CHECK(view.complete);
+  CHECK(fixture.targets.requests.size() == 1);
+}
+
+TEST_CASE("a suspicion ends with a trial call that is served") {
+  router_fixture fixture;
+  start(fixture, 2);
+  SUBCASE("not before its time") {
+    learn_of_crashes(fixture, trial_delay - std::chrono::seconds{5});
+    CHECK(call_that_completes(fixture, "/stream/", "bad1:400").status == 503);
+    CHECK(fixture.targets.requests.empty());
+  }
+  SUBCASE("one call is sent, and once it is served, the others are again") {
+    learn_of_crashes(fixture, trial_delay);
+    CHECK(call_that_completes(fixture, "/stream/", "bad1:400").status == 200);
+    update_crash_suspects(fixture.router);
+    CHECK(fixture.router.crash_suspects.suspects.empty());
+    CHECK(call_that_completes(fixture, "/stream/", "bad1:400").status == 200);
+    CHECK(fixture.targets.requests.size() == 2);
+  }
+  SUBCASE("if it fails, the others are refused for longer, and it is not retried") {
+    learn_of_crashes(fixture, trial_delay);
+    CHECK(call_that_crashes(fixture, "/resumable/", "bad1:400").status == 502);
+    CHECK(call_that_completes(fixture, "/stream/", "bad1:400").status == 503);
+    CHECK(fixture.targets.requests.size() == 1);
+  }
+}
