--- a/standins/platform_standin.cc
+++ b/standins/platform_standin.cc
@@ -17,6 +17,7 @@
 constexpr int cut_event = 3;  // in which target_mode::cut_stream ends a stream
 constexpr milliseconds plain_response_time{15};
 constexpr std::size_t max_items_per_page = 50;
+constexpr milliseconds restart_time{2'000};  // of a crashed engine
 
 // Sends a response of the store. All of them carry its era.
 void send_store_response(const platform_standin& platform, http_exchange& exchange, int status,
@@ -189,6 +190,11 @@
                                          : target_mode::ok;
       }
     }
+  } else if (path == "/admin/crash") {
+    platform.crashing_part = query_value(request_target, "part");
+  } else if (path == "/admin/crashes") {
+    send_response(*exchange, 200, {}, "crashes=" + std::to_string(platform.crashes) + "\n");
+    return;
   } else if (path == "/admin/ledger") {
     send_response(*exchange, 200, {}, ledger_text(platform));
     return;
@@ -237,11 +243,38 @@
   event_ptr timer;
 };
 
+leaf::result<void> start_target(target_standin& target);
+
+// True if a part of the prompt but the last one is the platform's crashing part.
+bool has_crashing_part(const platform_standin& platform, const http_exchange& exchange) {
+  const std::string prefix(find_header(exchange.head.headers, "X-Peridotspur-Prompt-Prefix"));
+  const std::string entry = platform.crashing_part + ":";
+  return !platform.crashing_part.empty() &&
+         (prefix.starts_with(entry) || prefix.find("," + entry) != std::string::npos) &&
+         prefix.rfind("," + entry) != prefix.rfind(',');
+}
+
+// Closes all connections of the target, and starts it again later.
+void crash(target_standin& target) {
+  platform_standin& platform = *target.platform;
+  ++platform.crashes;
+  target.listener.reset();
+  remove_item(platform, "servers/" + target.id);
+  run_after(platform.base, restart_time, [&target]() {
+    leaf::try_handle_all([&target]() { return start_target(target); }, []() {});
+  });
+}
+
 void on_stream_timer(evutil_socket_t, short, void* argument) {
   event_stream_response* stream = static_cast<event_stream_response*>(argument);
   http_exchange& exchange = *stream->exchange;
   if (exchange.connection == nullptr) {
-    delete stream;  // the caller disconnected
+    delete stream;  // the caller disconnected, or the target has crashed
+    return;
+  }
+  if (!exchange.response_started && has_crashing_part(*stream->target->platform, exchange)) {
+    crash(*stream->target);
+    delete stream;
     return;
   }
   const bool cut = stream->target->mode == target_mode::cut_stream;
@@ -340,28 +373,37 @@
   target->platform = &platform;
   target->is_engine = index < options.engine_count;
   target->pool = target->is_engine ? "engines" : "bookings";
-  target->id = "i-" + std::to_string(index + 1);
+
   target->domain =
       options.failure_domains[static_cast<std::size_t>(index) % options.failure_domains.size()];
   target->address = "127.0.0.1:" + std::to_string(options.first_target_port + index);
-  target_standin* self = target.get();
+  BOOST_LEAF_CHECK(start_target(*target));
+  platform.targets.push_back(std::move(target));
+  return {};
+}
+
+// Starts the target under a new id and registers it.
+leaf::result<void> start_target(target_standin& target) {
+  platform_standin& platform = *target.platform;
+  target.id = "i-" + std::to_string(++platform.starts);
+  target.prefill_busy_until = instant{};
   listener_options target_listener_options;
-  target_listener_options.address = target->address;
-  BOOST_LEAF_ASSIGN(
-      target->listener,
-      start_listener(
-          platform.base, target_listener_options, []() { return caller_limits{}; },
-          [self](const std::shared_ptr<http_exchange>& exchange) { serve_call(*self, exchange); }));
-  const json entry = {{"service", target->pool},
-                      {"address", target->address},
-                      {"zone", target->domain},
+  target_listener_options.address = target.address;
+  BOOST_LEAF_ASSIGN(target.listener,
+                    start_listener(
+                        platform.base, target_listener_options, []() { return caller_limits{}; },
+                        [&target](const std::shared_ptr<http_exchange>& exchange) {
+                          serve_call(target, exchange);
+                        }));
+  const json entry = {{"service", target.pool},
+                      {"address", target.address},
+                      {"zone", target.domain},
                       {"version", "v1"},
-                      {"slots", target->is_engine ? 64 : 6},
+                      {"slots", target.is_engine ? 64 : 6},
                       {"state", "ready"},
                       {"cold_left_ms", 0},
                       {"call_seq", 1}};
-  set_item(platform, "servers/" + target->id, entry.dump());
-  platform.targets.push_back(std::move(target));
+  set_item(platform, "servers/" + target.id, entry.dump());
   return {};
 }
 
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -19,6 +19,10 @@
 //                              closed after the run is counted) or cut (engines: a stream without
 //                              length and chunks that ends with its connection within its third
 //                              event); id "all": every target
+//   POST   /admin/crash?part=P engines crash when they begin to answer a call with this part of its
+//                              prompt, other than the last one, and start again 2 s later at the
+//                              same address under a new id
+//   GET    /admin/crashes      "crashes=N"
 //
 // Engines prefill prompts one after another at a fixed rate and cache nothing.
 // Thread safety: none; for use from one event loop.
@@ -81,6 +85,9 @@
   store_mode mode = store_mode::ok;  // of the store
   std::vector<std::unique_ptr<pending_watch>> pending_watches;
   std::vector<std::unique_ptr<target_standin>> targets;
+  std::string crashing_part;  // id of the part; empty: none
+  int crashes = 0;
+  int starts = 0;  // of targets
   std::map<std::string, int> runs_by_attempt_id;
   std::uint64_t next_stamp = 1;  // of X-Peridotspur-Server-Stamp
 };
