Report crash events only while they are new, and compute suspects only after a change

Cause: each router passed every event on, with all signatures, for 30 s, and computed the suspects with each message.

Change: a router reports the events that it saw itself, for two and a half gossip cycles, so that a lost message loses none; what a suspect rests on is reported by all routers as before. Suspects are computed in the next loop iteration after a crash, and otherwise with the tick if something changed. The simulated routers report under their own addresses now, as the real ones do.

--- a/core/routing/crash_suspects.cc
+++ b/core/routing/crash_suspects.cc
@@ -13,6 +13,9 @@
 namespace peridot {
 namespace {
 
+// Without a change, events only expire.
+constexpr milliseconds max_update_interval{1'000};
+
 bool contains_all(const std::vector<std::uint64_t>& signatures,
                   const std::vector<std::uint64_t>& required) {
   return std::all_of(required.begin(), required.end(), [&signatures](std::uint64_t signature) {
@@ -44,8 +47,12 @@
 }
 
 void clear_all_signatures(crash_suspect_table& table, instant now) {
+  table.event_signatures.clear();
   for (crash_event& event : table.events) {
     clear_signatures(table, event, now);
+    for (const std::pair<const std::uint64_t, std::uint64_t>& entry : event.signatures) {
+      table.event_signatures.insert(entry.first);
+    }
   }
 }
 
@@ -158,13 +165,13 @@
 
 void expire(crash_suspect_table& table, instant now) {
   std::erase_if(table.events, [now](const crash_event& event) {
-    return now - event.at > (event.signatures.empty() ? report_time : crash_event_ttl);
+    return now - event.at > (event.signatures.empty() ? cleared_event_ttl : crash_event_ttl);
   });
   std::erase_if(table.trials, [now](const std::pair<const std::uint64_t, instant>& trial) {
     return now - trial.second > trial_slot;
   });
   std::erase_if(table.clearances, [now](const std::pair<const std::uint64_t, instant>& clearance) {
-    return now - clearance.second > report_time;
+    return now - clearance.second > cleared_event_ttl;
   });
 }
 
@@ -249,13 +256,13 @@
 void record_crash(crash_suspect_table& table, const crash_event& event, instant now) {
   crash_event seen = event;
   clear_signatures(table, seen, now);
-  if (now - event.at > (seen.signatures.empty() ? report_time : crash_event_ttl)) {
+  if (now - event.at > (seen.signatures.empty() ? cleared_event_ttl : crash_event_ttl)) {
     return;
   }
   crash_event& joined = find_or_add_event(table, event.target, event.at);
   for (const std::pair<const std::uint64_t, std::uint64_t>& entry : seen.signatures) {
     if (joined.signatures.size() < max_event_signatures) {
-      joined.signatures.insert(entry);
+      table.changed = joined.signatures.insert(entry).second || table.changed;
     }
   }
   for (const router_address& reporter : event.reporters) {
@@ -281,6 +288,7 @@
     if (completed_at <= last_completion(table, signature)) {
       continue;
     }
+    table.changed = table.changed || table.event_signatures.contains(signature);
     if (table.completions.size() >= max_completions && !table.completions.contains(signature)) {
       table.older_completions = std::move(table.completions);
       table.completions.clear();
@@ -299,6 +307,11 @@
 }
 
 suspect_changes update_suspects(crash_suspect_table& table, instant now) {
+  if (!table.changed && now - table.updated_at < max_update_interval) {
+    return {};
+  }
+  table.changed = false;
+  table.updated_at = now;
   expire(table, now);
   clear_all_signatures(table, now);
   const std::vector<crash_suspect> before = std::exchange(table.suspects, {});
@@ -342,7 +355,8 @@
 }
 
 std::vector<crash_event> events_to_report(const crash_suspect_table& table,
-                                          std::size_t max_signatures, instant now) {
+                                          const router_address& self, std::size_t max_signatures,
+                                          instant since) {
   std::vector<crash_event> result;
   std::size_t signatures_left = max_signatures;
   const std::function<void(crash_event)> add = [&](crash_event event) {
@@ -363,22 +377,27 @@
       add(std::move(event));
     }
   }
-  for (std::size_t index = table.events.size();
-       index-- > 0 && now - table.events[index].at <= report_time;) {
-    add(table.events[index]);
+  for (std::size_t index = table.events.size(); index-- > 0 && table.events[index].at >= since;) {
+    if (table.events[index].reporters.contains(self)) {
+      add(table.events[index]);
+    }
   }
   return result;
 }
 
 std::vector<std::pair<std::uint64_t, instant>> completions_to_report(
-    const crash_suspect_table& table, std::size_t max_count) {
+    const crash_suspect_table& table, std::size_t max_count, instant since) {
   std::set<std::uint64_t> signatures;
   for (const std::pair<const std::uint64_t, instant>& clearance : table.clearances) {
-    signatures.insert(clearance.first);
+    if (clearance.second >= since) {
+      signatures.insert(clearance.first);
+    }
   }
   for (const crash_event& event : table.events) {
     for (const std::pair<const std::uint64_t, std::uint64_t>& entry : event.signatures) {
-      signatures.insert(entry.first);
+      if (event.at >= since) {
+        signatures.insert(entry.first);
+      }
     }
   }
   std::vector<std::pair<std::uint64_t, instant>> result;
--- a/core/routing/crash_suspects.h
+++ b/core/routing/crash_suspects.h
@@ -26,12 +26,13 @@
 //   const crash_suspect* suspect = find_suspect(table, signatures);
 //   if (suspect != nullptr) { refuse the call, except for trials }
 //
-// Routers report events, with their observers, and completions to each other; each router also
-// passes on what it has learned, so that a crash outlives the router that saw it. A suspicion ends
+// Routers report events, with their observers, and completions to each other. What a suspect rests
+// on is passed on by every router, so that it outlives the routers that saw it. A suspicion ends
 // when a trial call completes (see is_trial_due()), or with crash_event_ttl.
 //
-// Most events never get company: a connection breaks for many reasons. They are reported for
-// report_time only, and dropped first if there are too many.
+// Most events never get company: a connection breaks for many reasons. Only the routers that saw
+// them report them, for a few gossip cycles, and they are dropped first if there are too many.
+// Those that a suspect rests on are reported by all routers.
 //
 // Invariants: at most max_crash_events events of at most max_event_signatures signatures each; at
 // most 2 * max_completions signatures with known completions.
@@ -43,6 +44,7 @@
 #include <set>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -69,7 +71,7 @@
 inline constexpr std::size_t max_completions = 16'384;  // of each generation, about 0.8 MB
 inline constexpr std::size_t max_event_reporters = 4;
 inline constexpr std::size_t max_clearances = 256;
-inline constexpr std::chrono::seconds report_time{30};  // of events, and of clearances last needed
+inline constexpr std::chrono::seconds cleared_event_ttl{30};  // and of clearances not needed again
 inline constexpr std::size_t max_reported_events_per_suspect = 8;
 
 // First trial after the newest crash; doubles with each wave of crashes after the first one.
@@ -108,6 +110,9 @@
   std::unordered_map<std::uint64_t, instant> older_completions;
   // Signatures that were cleared from events, and when that was last necessary.
   std::unordered_map<std::uint64_t, instant> clearances;
+  std::unordered_set<std::uint64_t> event_signatures;  // of all events, at the last update
+  bool changed = false;                                // since the last update
+  instant updated_at{};
   std::vector<crash_suspect> suspects;
   std::unordered_map<std::uint64_t, instant> trials;  // newest start, by the first signature
 };
@@ -133,7 +138,7 @@
 // instant{} if none is known.
 instant last_completion(const crash_suspect_table& table, std::uint64_t signature);
 
-// Drops expired events and computes the suspects anew.
+// Drops expired events and computes the suspects anew, if there is a reason to.
 suspect_changes update_suspects(crash_suspect_table& table, instant now);
 
 // The suspect that a call with these signatures is; null if it is none.
@@ -143,15 +148,16 @@
 // The highest number of events that count against one of the signatures, of whatever calls.
 int crash_count(const crash_suspect_table& table, const std::vector<std::uint64_t>& signatures);
 
-// What to report of the events: the newest ones with all signatures, and those that a suspect rests
-// on with its signatures only. At most `max_signatures` signatures.
+// What `self` reports of the events: those that a suspect rests on, with its signatures only, and
+// those that it saw itself since `since`, with all. At most `max_signatures` signatures.
 std::vector<crash_event> events_to_report(const crash_suspect_table& table,
-                                          std::size_t max_signatures, instant now);
+                                          const router_address& self, std::size_t max_signatures,
+                                          instant since);
 
-// Signatures of events, and those cleared lately, of which a completion is known: what peers need
-// to clear them too. The `max_count` newest ones.
+// Completions of signatures that were cleared since `since`, or that the events of `since` and
+// later have: what peers need to clear them too. The `max_count` newest ones.
 std::vector<std::pair<std::uint64_t, instant>> completions_to_report(
-    const crash_suspect_table& table, std::size_t max_count);
+    const crash_suspect_table& table, std::size_t max_count, instant since);
 
 // True if one call may be sent although it is a suspect: long enough after the newest crash, and
 // not within trial_slot after the last trial. `rank`: number of routers whose turn is before.
--- a/core/routing/routing.h
+++ b/core/routing/routing.h
@@ -2,7 +2,7 @@
 //
 // In the order in which they first apply to a call:
 //
-//   crash_suspects.h      requests that crash their targets are refused
+//   crash_suspects.h      calls that crash their targets are refused
 //   cold_start_limiter.h  which cold targets may this router send to now?
 //   target_health.h       which targets are avoided, and which is due for a trial call?
 //   overload.h            is this router instance overloaded?
--- a/core/testing/crash_suspects_test.cc
+++ b/core/testing/crash_suspects_test.cc
@@ -40,12 +40,16 @@
   return find_suspect(table, signatures) != nullptr;
 }
 
-// Reports all that one table knows to another one.
-void report(const crash_suspect_table& from, crash_suspect_table& to, instant now) {
-  for (const std::pair<std::uint64_t, instant>& completion : completions_to_report(from, 48)) {
+constexpr milliseconds report_ttl{3'000};  // of a fleet whose gossip cycle takes 1.2 s
+
+// Sends the report of one router to another one.
+void report(const crash_suspect_table& from, crash_suspect_table& to, instant now,
+            const router_address& from_router = self) {
+  for (const std::pair<std::uint64_t, instant>& completion :
+       completions_to_report(from, 48, now - report_ttl)) {
     record_completion(to, {completion.first}, completion.second);
   }
-  for (const crash_event& event : events_to_report(from, 96, now)) {
+  for (const crash_event& event : events_to_report(from, from_router, 96, now - report_ttl)) {
     record_crash(to, event, now);
   }
   update_suspects(to, now);
@@ -110,6 +114,10 @@
 constexpr std::uint64_t fleet_heads = 4;
 constexpr std::uint64_t fleet_subjects = 160;
 
+router_address fleet_router(std::size_t number) {
+  return {"10.0.0." + std::to_string(number) + ":7400"};
+}
+
 bool happens(fleet_state& fleet, double per_second) {
   const double steps_per_second = 1'000.0 / static_cast<double>(fleet_step.count());
   return std::uniform_real_distribution<double>(0, steps_per_second)(fleet.random) < per_second;
@@ -160,7 +168,7 @@
   for (const fleet_call& call : interrupted) {
     crash_suspect_table& table = fleet.routers[call.router];
     if (now - call.begins_at <= max_crash_delay) {
-      crash_by_call(table, name, start + now, call.signatures);
+      crash_by_call(table, name, start + now, call.signatures, fleet_router(call.router));
     }
     if (call.sends < 2 && find_suspect(table, call.signatures) == nullptr &&
         crash_count(table, call.signatures) < crashes_before_no_retry) {
@@ -211,7 +219,8 @@
     for (std::size_t peer_number = 0; peer_number < std::min(peers_per_round, count - 1);
          ++peer_number) {
       const std::size_t offset = 1 + (round * peers_per_round + peer_number) % (count - 1);
-      report(fleet.routers[sender], fleet.routers[(sender + offset) % count], start + now);
+      report(fleet.routers[sender], fleet.routers[(sender + offset) % count], start + now,
+             fleet_router(sender));
     }
   }
 }
@@ -523,7 +532,8 @@
     }
     std::size_t signatures = 0;
     bool reports_suspect = false;
-    for (const crash_event& event : events_to_report(table, 96, now)) {
+    for (const crash_event& event :
+         events_to_report(table, self, 96, now - std::chrono::minutes{1})) {
       signatures += event.signatures.size();
       reports_suspect = reports_suspect || event.signatures.contains(bad);
     }
--- a/router/call_crashes.cc
+++ b/router/call_crashes.cc
@@ -2,8 +2,7 @@
 // that are suspected of crashing targets.
 
 #include <algorithm>
-#include <cinttypes>
-#include <cstdio>
+#include <utility>
 
 #include "core/base/stable_hash.h"
 #include "net/log.h"
@@ -103,7 +102,7 @@
       router.crash_suspects,
       make_crash_event(call.current_attempt->target, now, call.signatures, router.self.address),
       now);
-  update_crash_suspects(router);
+  schedule_crash_update(router);
 }
 
 void record_completed_call(const active_call& call) {
@@ -130,6 +129,16 @@
   }
 }
 
+void schedule_crash_update(router_state& router) {
+  if (std::exchange(router.crash_update_pending, true)) {
+    return;
+  }
+  run_later(router.base.get(), [&router]() {
+    router.crash_update_pending = false;
+    update_crash_suspects(router);
+  });
+}
+
 bool refuse_if_suspect(active_call& call) {
   router_state& router = *call.router;
   const instant now = current_time();
--- a/router/call_internal.h
+++ b/router/call_internal.h
@@ -87,6 +87,10 @@
 // later loop iteration.
 void update_crash_suspects(router_state& router);
 
+// Calls update_crash_suspects() in the next loop iteration, once for all that is learned in this
+// one.
+void schedule_crash_update(router_state& router);
+
 // Refuses the call if such calls crash targets, unless it is due as a trial. True if it was
 // refused.
 bool refuse_if_suspect(active_call& call);
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -80,7 +80,8 @@
 // Adds crash events, and the completions that clear signatures of such events.
 void add_crash_reports(const router_state& router, wire::gossip& gossip, instant now) {
   for (const crash_event& event :
-       events_to_report(router.crash_suspects, max_reported_signatures, now)) {
+       events_to_report(router.crash_suspects, router.self.address, max_reported_signatures,
+                        now - router.membership.report_ttl)) {
     wire::crash_event& report = *gossip.add_crash_events();
     report.set_target(event.target);
     report.set_age_ms(age_ms(event.at, now));
@@ -92,15 +93,16 @@
       report.add_reporters(reporter.value);
     }
   }
-  for (const std::pair<std::uint64_t, instant>& completion :
-       completions_to_report(router.crash_suspects, max_reported_completions)) {
+  for (const std::pair<std::uint64_t, instant>& completion : completions_to_report(
+           router.crash_suspects, max_reported_completions, now - router.membership.report_ttl)) {
     wire::completed_call& report = *gossip.add_completions();
     report.set_signature(completion.first);
     report.set_age_ms(age_ms(completion.second, now));
   }
 }
 
-// Completions come first, so that what they clear is not added.
+// The suspects are computed with the next tick. Completions come first, so that what they clear is
+// not added.
 void apply_crash_reports(router_state& router, const wire::gossip& gossip, instant now) {
   for (const wire::completed_call& report : gossip.completions()) {
     record_completion(router.crash_suspects, {report.signature()},
@@ -119,9 +121,6 @@
     }
     record_crash(router.crash_suspects, event, now);
   }
-  if (gossip.crash_events_size() + gossip.completions_size() > 0) {
-    update_crash_suspects(router);
-  }
 }
 
 void apply_peer_loads(router_state& router, const router_address& from, const wire::gossip& gossip,
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -118,6 +118,7 @@
   share_table shares;
   overload_state overload;
   crash_suspect_table crash_suspects;
+  bool crash_update_pending = false;  // in the next loop iteration
   std::map<pool_name, pool_state> pools;
   std::unordered_map<std::uint32_t, target_name> target_by_hash;  // hashes as in gossip
   std::uint64_t target_by_hash_generation = 0;  // of the target table it was built from
