Keep the events of a suspect with it, not their positions

A crash that is recorded between two updates shifts the positions in the table of events, so that the evidence in the log, the report to peers and the waves of trials could be those of another event until the next update, a tick later. Found by reading; the positions stayed within the table. The suspect now has copies of its events, with its own signatures.

--- a/core/routing/crash_suspects.cc
+++ b/core/routing/crash_suspects.cc
@@ -151,7 +151,6 @@
 crash_suspect make_suspect(const crash_suspect_table& table, const std::vector<accusation>& all,
                            const accusation& strongest) {
   crash_suspect result;
-  result.events = strongest.events;
   result.crashes = strongest.count;
   result.newest_crash_at = table.events[strongest.events.back()].at;
   for (const accusation& other : all) {
@@ -160,6 +159,14 @@
     }
   }
   std::sort(result.signatures.begin(), result.signatures.end());
+  for (std::size_t index : strongest.events) {
+    crash_event event = table.events[index];
+    std::erase_if(event.signatures,
+                  [&result](const std::pair<const std::uint64_t, std::uint64_t>& entry) {
+                    return !contains_all(result.signatures, {entry.first});
+                  });
+    result.events.push_back(std::move(event));
+  }
   return result;
 }
 
@@ -225,11 +232,10 @@
 }
 
 // Crashes of a suspect that follow the one before after crash_wave_gap or more.
-int later_waves(const crash_suspect_table& table, const crash_suspect& suspect) {
+int later_waves(const crash_suspect& suspect) {
   int waves = 0;
   for (std::size_t position = 1; position < suspect.events.size(); ++position) {
-    const duration gap =
-        table.events[suspect.events[position]].at - table.events[suspect.events[position - 1]].at;
+    const duration gap = suspect.events[position].at - suspect.events[position - 1].at;
     waves += gap >= crash_wave_gap ? 1 : 0;
   }
   return waves;
@@ -367,15 +373,8 @@
   };
   for (const crash_suspect& suspect : table.suspects) {
     const std::size_t count = std::min(suspect.events.size(), max_reported_events_per_suspect);
-    for (std::size_t position = suspect.events.size() - count; position < suspect.events.size();
-         ++position) {
-      crash_event event = table.events[suspect.events[position]];
-      std::erase_if(event.signatures,
-                    [&suspect](const std::pair<const std::uint64_t, std::uint64_t>& entry) {
-                      return !contains_all(suspect.signatures, {entry.first});
-                    });
-      add(std::move(event));
-    }
+    std::for_each(suspect.events.end() - static_cast<std::ptrdiff_t>(count), suspect.events.end(),
+                  add);
   }
   for (std::size_t index = table.events.size(); index-- > 0 && table.events[index].at >= since;) {
     if (table.events[index].reporters.contains(self)) {
@@ -419,7 +418,7 @@
   if (table.trials.contains(suspect.signatures.front())) {
     return false;
   }
-  const int doublings = std::min(later_waves(table, suspect), max_trial_delay_doublings);
+  const int doublings = std::min(later_waves(suspect), max_trial_delay_doublings);
   return now - suspect.newest_crash_at >=
          trial_delay * (1 << doublings) + trial_slot * static_cast<std::int64_t>(rank);
 }
--- a/core/routing/crash_suspects.h
+++ b/core/routing/crash_suspects.h
@@ -92,7 +92,7 @@
 
 struct crash_suspect {
   std::vector<std::uint64_t> signatures;  // a suspect call has all of them
-  std::vector<std::size_t> events;        // positions in crash_suspect_table::events, by time
+  std::vector<crash_event> events;        // by time, with these signatures only
   int crashes = 0;                        // events that count
   instant newest_crash_at{};
 };
--- a/core/testing/crash_suspects_test.cc
+++ b/core/testing/crash_suspects_test.cc
@@ -456,8 +456,8 @@
     report(second, third, now + std::chrono::minutes{5});
     CHECK(is_suspect(third, {bad}));
     const crash_suspect& suspect = *find_suspect(third, {bad});
-    CHECK(third.events[suspect.events[0]].reporters.contains(self));
-    CHECK(third.events[suspect.events[2]].reporters.contains(peer));
+    CHECK(suspect.events[0].reporters.contains(self));
+    CHECK(suspect.events[2].reporters.contains(peer));
   }
   SUBCASE("a completion that one router saw clears the part at all of them") {
     record_completion(first, {bad}, now);
--- a/router/call_crashes.cc
+++ b/router/call_crashes.cc
@@ -20,11 +20,10 @@
 }
 
 // The evidence for a suspect, for logs.
-std::string evidence_text(const crash_suspect_table& table, const crash_suspect& suspect,
-                          instant now) {
+std::string evidence_text(const crash_suspect& suspect, instant now) {
   std::set<router_address> reporters;
-  for (std::size_t index : suspect.events) {
-    reporters.insert(table.events[index].reporters.begin(), table.events[index].reporters.end());
+  for (const crash_event& event : suspect.events) {
+    reporters.insert(event.reporters.begin(), event.reporters.end());
   }
   std::string reporters_text;
   for (const router_address& reporter : reporters) {
@@ -32,7 +31,7 @@
   }
   return "signatures=" + signatures_text(suspect.signatures) +
          " crashes=" + std::to_string(suspect.crashes) + " reported_by=" + reporters_text +
-         " oldest_crash_ms=" + ms_text(now - table.events[suspect.events.front()].at) +
+         " oldest_crash_ms=" + ms_text(now - suspect.events.front().at) +
          " newest_crash_ms=" + ms_text(now - suspect.newest_crash_at);
 }
 
@@ -116,7 +115,7 @@
     ++router.call_metrics.suspects_found;
     log_line(log_part::target, log_level::warn,
              "Calls with these signatures crash targets and are refused. " +
-                 evidence_text(router.crash_suspects, suspect, now));
+                 evidence_text(suspect, now));
   }
   for (const crash_suspect& suspect : changes.ended) {
     ++router.call_metrics.suspects_ended;
@@ -151,13 +150,13 @@
     call.is_trial = true;
     log_line(log_part::target, log_level::warn,
              "Trial of a call that is suspected of crashing targets. call=" + call.request.id +
-                 " " + evidence_text(router.crash_suspects, *suspect, now));
+                 " " + evidence_text(*suspect, now));
     record_trial(router.crash_suspects, *suspect, now);
     return false;
   }
   log_line(log_part::http, log_level::warn,
            "Call is suspected of crashing targets. call=" + call.request.id + " " +
-               evidence_text(router.crash_suspects, *suspect, now));
+               evidence_text(*suspect, now));
   end_with_refusal(call, refusal::suspect, duration{0});
   return true;
 }
