--- a/router/testing/endless_bytes_test.cc
+++ b/router/testing/endless_bytes_test.cc
@@ -46,7 +46,7 @@
 caller_view call_endless(endless_fixture& fixture, const std::string& path) {
   const instant sent_at = current_time();
   fixture.server.bytes_sent = 0;
-  const caller_view view = call(fixture.router, path);
+  caller_view view = call(fixture.router, path);
   CHECK(current_time() - sent_at < at_once);
   run_for(fixture.router.router.base.get(), milliseconds{50});
   CHECK(fixture.server.open_connections == 0);
