Exchange reports through delegates in large fleets; read the store by domain

Cause: at 295 routers each router sent and received 80 messages a second, one for each of 16 peers a round, parsed each and kept tables by peer; a cycle took 3.7 s.

Change: two routers of each failure domain, chosen by each router for itself, gather reports and pass sums on; they read the store for their domain. Fleets of up to 17 routers are as before.

--- a/core/fleet/membership.cc
+++ b/core/fleet/membership.cc
@@ -65,7 +65,9 @@
   peer.domain = domain;
   peer.leaving = leaving;
   peer.full_peer_list_sent = peer.full_peer_list_sent && !newly_alive;
+  peer.needs_member_list = peer.needs_member_list || newly_alive;
   peer.last_heard = now;
+  peer.last_report = now;
   peer.alive_until = now + table.report_ttl;
   return newly_alive;
 }
@@ -82,13 +84,14 @@
                     }));
 }
 
-std::size_t accepting_peer_count(const membership_table& table, instant now) {
-  return static_cast<std::size_t>(
-      std::count_if(table.peers.begin(), table.peers.end(),
-                    [now](const std::pair<const router_address, peer_state>& entry) {
-                      const peer_state& peer = entry.second;
-                      return is_alive(peer, now) && !peer.overloaded && !peer.leaving;
-                    }));
+void refresh_peer_counts(membership_table& table, instant now) {
+  table.counts = {};
+  for (const std::pair<const router_address, peer_state>& entry : table.peers) {
+    const peer_state& peer = entry.second;
+    const bool alive = is_alive(peer, now);
+    table.counts.live += alive ? 1 : 0;
+    table.counts.accepting += alive && !peer.overloaded && !peer.leaving ? 1 : 0;
+  }
 }
 
 std::vector<router_address> live_peers(const membership_table& table, instant now) {
--- a/core/fleet/membership.h
+++ b/core/fleet/membership.h
@@ -13,7 +13,8 @@
 // report_ttl_cycles cycles, but at least min_report_ttl, so that one lost message doesn't
 // mark a peer as failed.
 // Traffic: a round sends to at most `max_peers_per_round` live peers and as many silent
-// ones. A cycle of rounds reaches each live peer once.
+// ones. A cycle of rounds reaches each live peer once. Fleets with more live peers than one round
+// reaches exchange reports through delegates instead (core/fleet/delegates.h).
 // Thread safety: none; for use from one event loop.
 #pragma once
 
@@ -46,6 +47,21 @@
   instant alive_until{};             // last_heard plus report_ttl at that time
   instant last_silent_send{};        // last time the silent peer was chosen for a round
   instant discovered_at{};           // address first seen in seeds or gossip
+
+  // For core/fleet/delegates.h.
+  int processor_percent = 0;          // of a core that the peer may use; 0: unknown
+  instant last_report{};              // last message from the peer itself
+  std::uint32_t report_round = 0;     // of that message
+  instant digest_requested_until{};   // until then the peer relies on this router for digests
+  instant last_digest{};              // last digest from the peer
+  instant avoided_until{};            // not used as a delegate: its digests did not arrive
+  bool needs_member_list = false;     // newly heard: it may not know the fleet
+};
+
+// Counts as of the last refresh_peer_counts().
+struct peer_counts {
+  std::size_t live = 0;
+  std::size_t accepting = 0;  // live, and accepts new calls
 };
 
 struct membership_table {
@@ -56,6 +72,16 @@
   std::vector<router_address> pending_peers;   // not yet reached in this cycle
   duration report_ttl{min_report_ttl};         // validity of a peer's report
   std::size_t rounds_per_cycle = 1;            // of the cycle that started last
+  peer_counts counts;
+
+  // For core/fleet/delegates.h.
+  failure_domain_name domain;      // of this router
+  int processor_percent = 0;       // likewise
+  bool uses_delegates = false;
+  std::uint32_t round = 0;         // of the reports sent
+  router_address primary;          // on whose digests this router relies; empty: on none
+  instant primary_since{};
+  bool cut_off = false;            // no delegate was heard lately
 };
 
 // The peers to which one round of gossip is sent.
@@ -87,8 +113,9 @@
 
 std::size_t live_peer_count(const membership_table& table, instant now);
 
-// Number of live peers that accept new calls.
-std::size_t accepting_peer_count(const membership_table& table, instant now);
+// Counts the live peers. To be called a few times a second; decisions for a call read
+// `table.counts`, so that their cost doesn't grow with the fleet.
+void refresh_peer_counts(membership_table& table, instant now);
 
 std::vector<router_address> live_peers(const membership_table& table, instant now);
 
--- a/core/routing/crash_suspects.cc
+++ b/core/routing/crash_suspects.cc
@@ -362,7 +362,7 @@
 
 std::vector<crash_event> events_to_report(const crash_suspect_table& table,
                                           const router_address& self, std::size_t max_signatures,
-                                          instant since) {
+                                          instant since, bool relay) {
   std::vector<crash_event> result;
   std::size_t signatures_left = max_signatures;
   const std::function<void(crash_event)> add = [&](crash_event event) {
@@ -377,7 +377,7 @@
                   add);
   }
   for (std::size_t index = table.events.size(); index-- > 0 && table.events[index].at >= since;) {
-    if (table.events[index].reporters.contains(self)) {
+    if (relay || table.events[index].reporters.contains(self)) {
       add(table.events[index]);
     }
   }
--- a/core/routing/crash_suspects.h
+++ b/core/routing/crash_suspects.h
@@ -149,10 +149,11 @@
 int crash_count(const crash_suspect_table& table, const std::vector<std::uint64_t>& signatures);
 
 // What `self` reports of the events: those that a suspect rests on, with its signatures only, and
-// those that it saw itself since `since`, with all. At most `max_signatures` signatures.
+// those that it saw itself since `since`, with all. With `relay` also those of that time that it
+// learned from others. At most `max_signatures` signatures.
 std::vector<crash_event> events_to_report(const crash_suspect_table& table,
                                           const router_address& self, std::size_t max_signatures,
-                                          instant since);
+                                          instant since, bool relay = false);
 
 // Completions of signatures that were cleared since `since`, or that the events of `since` and
 // later have: what peers need to clear them too. The `max_count` newest ones.
--- a/core/settings/settings.cc
+++ b/core/settings/settings.cc
@@ -38,6 +38,7 @@
   read_milliseconds(reader, "stop_grace_ms", stop_grace_range, settings.stop_grace);
   read_milliseconds(reader, "store_touch_ms", touch_range, settings.store_touch);
   read_milliseconds(reader, "gossip_interval_ms", gossip_interval_range, settings.gossip_interval);
+  read_number(reader, "processor_share", ratio_range, settings.processor_share);
   read_number(reader, "retry_ratio", ratio_range, settings.retry_ratio);
   read_number(reader, "retry_slack", slack_range, settings.retry_slack);
   read_number(reader, "cold_over", ratio_range, settings.cold_over);
--- a/core/settings/settings.h
+++ b/core/settings/settings.h
@@ -41,6 +41,7 @@
   // after a store failure.
   std::chrono::milliseconds store_touch{3'000};
   std::chrono::milliseconds gossip_interval{200};
+  double processor_share = 0;   // of a core that the process may use; 0: unknown
   double retry_ratio = 0.2;  // platform's limit on retries in any window: this many per call
   double retry_slack = 58;   // plus this many, over all routers
   double cold_over = 1.5;    // limit on calls to a cold target: cold_rate of its pool times this
--- a/net/mesh.cc
+++ b/net/mesh.cc
@@ -121,6 +121,9 @@
 
 void send_bytes(mesh& peer_mesh, const router_address& to, const std::string& bytes) {
   mesh_peer* peer = find_or_connect_peer(peer_mesh, to);
+  if (peer != nullptr) {
+    peer->last_used = current_time();
+  }
   if (peer == nullptr || !try_send(peer->socket, bytes)) {
     ++peer_mesh.counters.not_sent;
     return;
@@ -221,6 +224,13 @@
                 });
 }
 
+void disconnect_idle_peers(mesh& peer_mesh, duration max_idle, instant now) {
+  std::erase_if(peer_mesh.peers,
+                [max_idle, now](const std::pair<const router_address, mesh_peer>& entry) {
+                  return now - entry.second.last_used > max_idle;
+                });
+}
+
 std::optional<wire::peer_message> decode_message(const mesh_options& options,
                                                  std::string_view bytes, mesh_counters& counters) {
   wire::sealed_message sealed;
--- a/net/mesh.h
+++ b/net/mesh.h
@@ -68,6 +68,7 @@
 
 struct mesh_peer {
   zmq::socket_t socket;
+  instant last_used{};  // last message to the peer
 };
 
 struct mesh {
@@ -102,6 +103,9 @@
 // Closes the connections to peers that are not in `retained`.
 void disconnect_peers_except(mesh& peer_mesh, const std::set<router_address>& retained);
 
+// Closes the connections on which nothing was sent for `max_idle`.
+void disconnect_idle_peers(mesh& peer_mesh, duration max_idle, instant now);
+
 // Verifies and parses a received message. If it is rejected, returns nullopt and increments
 // the counter of the reason. Separate from the socket so that it can be fuzzed.
 std::optional<wire::peer_message> decode_message(const mesh_options& options,
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -365,7 +365,7 @@
   if (call.sends > 0) {
     return;
   }
-  const int router_count = static_cast<int>(live_peer_count(router.membership, now)) + 1;
+  const int router_count = static_cast<int>(router.membership.counts.live) + 1;
   earn_retry_credit(
       pool_state_of(router, target_pool.name).budget,
       retry_limits_for(router.settings.retry_ratio, router.settings.retry_slack, router_count));
--- a/router/call_internal.h
+++ b/router/call_internal.h
@@ -57,7 +57,7 @@
                        refusal reason, duration retry_after);
 
 // True if enough live peers accept new calls.
-bool peers_accept_calls(const router_state& router, instant now);
+bool peers_accept_calls(const router_state& router);
 
 // Ids of the parts of the call's prompt, for logs: hexadecimal, "-" if it has no prompt.
 std::string parts_text(const call_request& request);
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -29,7 +29,7 @@
 
 // Number of connections to one target that this router plans to use, at least 2.
 int planned_connections(const router_state& router, const pool& target_pool) {
-  const std::size_t router_count = live_peer_count(router.membership, current_time()) + 1;
+  const std::size_t router_count = router.membership.counts.live + 1;
   return std::max(2, static_cast<int>(planned_connections_fraction * target_pool.max_connections /
                                       static_cast<double>(router_count)));
 }
@@ -171,7 +171,7 @@
   router_state& router = *call.router;
   const instant now = current_time();
   if (!should_refuse_new_call(router.overload, call.matched_route->latency_objective,
-                              peers_accept_calls(router, now))) {
+                              peers_accept_calls(router))) {
     return false;
   }
   end_with_refusal(call, refusal::instance_busy,
@@ -312,9 +312,9 @@
 
 }  // namespace
 
-bool peers_accept_calls(const router_state& router, instant now) {
-  return enough_peers_accept_calls(accepting_peer_count(router.membership, now),
-                                   live_peer_count(router.membership, now));
+bool peers_accept_calls(const router_state& router) {
+  return enough_peers_accept_calls(router.membership.counts.accepting,
+                                   router.membership.counts.live);
 }
 
 pool_state& pool_state_of(router_state& router, const pool_name& name) {
--- a/router/control_pages.cc
+++ b/router/control_pages.cc
@@ -18,7 +18,6 @@
 
 std::vector<scalar_metric> scalar_metrics(const router_state& router) {
   const mesh_counters& mesh = router.peer_mesh->counters;
-  const instant now = current_time();
   return {
       {"peridot_config_version", "Version in force.",
        to_double(router.store.config == nullptr ? 0 : router.store.config->version)},
@@ -42,7 +41,7 @@
       {"peridot_loop_turn_ms", "Mean time of a turn of the loop.",
        to_ms(router.overload.mean_loop_time)},
       {"peridot_live_peers", "Routers heard from lately.",
-       to_double(live_peer_count(router.membership, now))},
+       to_double(router.membership.counts.live)},
       {"peridot_targets", "Targets in the table.", to_double(router.store.targets.targets.size())},
       {"peridot_store_calls_total", "Calls to the store.",
        to_double(router.store_client.call_count), true},
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -1,40 +1,24 @@
-// Exchanges gossip with other routers, and sends store items to routers whose revisions are
-// behind.
+// Exchanges reports with other routers: directly in a small fleet, through delegates in a large
+// one.
 
 #include <algorithm>
 #include <utility>
 
 #include "core/base/stable_hash.h"
+#include "core/fleet/delegates.h"
 #include "core/fleet/peer_messages.h"
 #include "net/log.h"
 #include "router/call_internal.h"
+#include "router/peer_internal.h"
 
 namespace peridot {
 namespace {
 
-// How long a peer's store revisions must be ahead before its items are requested: this
-// router's own watch usually returns the change sooner. A quarter of the time in which the
-// platform requires changes to take effect. Also the shortest time between two requests to
-// any peers.
-constexpr milliseconds items_request_delay{500};
 constexpr std::size_t max_reported_signatures = 96;
 constexpr std::size_t max_reported_completions = 48;
 constexpr std::size_t max_reported_organisations = 256;
-
-std::uint32_t target_hash(const target_name& target) {
-  return static_cast<std::uint32_t>(stable_hash(target.value));
-}
-
-void update_target_index(router_state& router) {
-  if (router.target_by_hash_generation == router.store.targets.generation) {
-    return;
-  }
-  router.target_by_hash_generation = router.store.targets.generation;
-  router.target_by_hash.clear();
-  for (const std::pair<const target_name, target_state>& entry : router.store.targets.targets) {
-    router.target_by_hash[target_hash(entry.first)] = entry.first;
-  }
-}
+// Connections to former delegates are closed after this time.
+constexpr milliseconds max_peer_idle{10'000};
 
 std::set<router_address> known_peers(const membership_table& membership) {
   std::set<router_address> result;
@@ -54,9 +38,9 @@
     wire::target_use& usage = *gossip.add_targets();
     usage.set_target(target_hash(entry.first));
     usage.set_running(static_cast<std::uint32_t>(load.running_calls));
-    usage.set_unread_tokens(static_cast<std::uint32_t>(load.pending_prefill_tokens));
-    usage.set_memory_tokens(static_cast<std::uint32_t>(load.kv_used_tokens));
-    usage.set_tokens_read(static_cast<std::uint32_t>(load.current_prefill_report.tokens));
+    usage.set_unread_tokens(to_whole_tokens(load.pending_prefill_tokens));
+    usage.set_memory_tokens(to_whole_tokens(load.kv_used_tokens));
+    usage.set_tokens_read(to_whole_tokens(load.current_prefill_report.tokens));
     for (std::uint32_t prefix : load.current_prefill_report.prefixes) {
       usage.add_read_prefixes(prefix);
     }
@@ -68,118 +52,11 @@
        usage_report(router.shares, max_reported_organisations)) {
     wire::organisation_use& usage = *gossip.add_organisations();
     usage.set_organisation(entry.first);
-    usage.set_asked_tokens(static_cast<std::uint32_t>(std::max(0.0, entry.second.asked)));
-    usage.set_served_tokens(static_cast<std::uint32_t>(std::max(0.0, entry.second.served)));
-  }
-}
-
-std::uint32_t age_ms(instant at, instant now) {
-  return static_cast<std::uint32_t>(std::max(0.0, to_ms(now - at)));
-}
-
-// Adds crash events, and the completions that clear signatures of such events.
-void add_crash_reports(const router_state& router, wire::gossip& gossip, instant now) {
-  for (const crash_event& event :
-       events_to_report(router.crash_suspects, router.self.address, max_reported_signatures,
-                        now - router.membership.report_ttl)) {
-    wire::crash_event& report = *gossip.add_crash_events();
-    report.set_target(event.target);
-    report.set_age_ms(age_ms(event.at, now));
-    for (const std::pair<const std::uint64_t, std::uint64_t>& entry : event.signatures) {
-      report.add_signatures(entry.first);
-      report.add_fingerprints(entry.second);
-    }
-    for (const router_address& reporter : event.reporters) {
-      report.add_reporters(reporter.value);
-    }
-  }
-  for (const std::pair<std::uint64_t, instant>& completion : completions_to_report(
-           router.crash_suspects, max_reported_completions, now - router.membership.report_ttl)) {
-    wire::completed_call& report = *gossip.add_completions();
-    report.set_signature(completion.first);
-    report.set_age_ms(age_ms(completion.second, now));
+    usage.set_asked_tokens(to_whole_tokens(entry.second.asked));
+    usage.set_served_tokens(to_whole_tokens(entry.second.served));
   }
 }
 
-// The suspects are computed with the next tick. Completions come first, so that what they clear is
-// not added.
-void apply_crash_reports(router_state& router, const wire::gossip& gossip, instant now) {
-  for (const wire::completed_call& report : gossip.completions()) {
-    record_completion(router.crash_suspects, {report.signature()},
-                      now - milliseconds{report.age_ms()});
-  }
-  for (const wire::crash_event& report : gossip.crash_events()) {
-    crash_event event;
-    event.target = report.target();
-    event.at = now - milliseconds{report.age_ms()};
-    const int count = std::min(report.signatures_size(), report.fingerprints_size());
-    for (int index = 0; index < count; ++index) {
-      event.signatures.emplace(report.signatures(index), report.fingerprints(index));
-    }
-    for (const std::string& reporter : report.reporters()) {
-      event.reporters.insert(router_address{reporter});
-    }
-    record_crash(router.crash_suspects, event, now);
-  }
-}
-
-void apply_peer_loads(router_state& router, const router_address& from, const wire::gossip& gossip,
-                      instant now) {
-  update_target_index(router);
-  reported_targets reported;
-  reported.valid_until = now + router.membership.report_ttl;
-  for (const wire::target_use& usage : gossip.targets()) {
-    auto found = router.target_by_hash.find(usage.target());
-    if (found == router.target_by_hash.end()) {
-      continue;
-    }
-    const std::vector<std::uint32_t> prefixes(usage.read_prefixes().begin(),
-                                              usage.read_prefixes().end());
-    const peer_load load{static_cast<int>(usage.running()),
-                         static_cast<double>(usage.unread_tokens()),
-                         static_cast<double>(usage.memory_tokens()), reported.valid_until};
-    update_peer_load(router.loads, from, found->second, load, prefixes, usage.tokens_read());
-    reported.targets.push_back(found->second);
-  }
-  complete_peer_report(router.loads, from, std::move(reported));
-}
-
-// Requests items from a peer whose store revisions have been ahead for items_request_delay,
-// or at once while this router has no configuration or targets. Requests to any peers are at
-// least items_request_delay apart.
-void request_items_if_behind(router_state& router, const router_address& peer,
-                             const wire::gossip& gossip, instant now) {
-  const platform::store_state& store = router.store;
-  const store_revision operator_revision{gossip.store_epoch(), gossip.operator_revision()};
-  const store_revision target_revision{gossip.store_epoch(), gossip.target_revision()};
-  const bool behind = operator_revision > store.newest_operator_revision ||
-                      target_revision > store.newest_target_revision;
-  if (!behind) {
-    router.peer_ahead_since.erase(peer);
-    return;
-  }
-  const bool has_config = platform::has_config_and_targets(store);
-  const instant ahead_since = router.peer_ahead_since.try_emplace(peer, now).first->second;
-  if (has_config && now - ahead_since >= items_request_delay) {
-    platform::shorten_watches(router.store_client, now);  // this router's own watch is overdue
-  }
-  if (now - router.store_items_requested_at < items_request_delay ||
-      (has_config && now - ahead_since < items_request_delay)) {
-    // Not behind for long enough, or a request was sent within items_request_delay: a reply
-    // may hold all items.
-    return;
-  }
-  router.store_items_requested_at = now;
-  router.peer_ahead_since[peer] = now;
-  outgoing_message message;
-  message.to = peer;
-  const store_revision known =
-      std::min(store.newest_operator_revision, store.newest_target_revision);
-  message.message.mutable_items_request()->set_after_revision(known.number);
-  message.message.mutable_items_request()->set_after_epoch(known.epoch);
-  send_message(*router.peer_mesh, message);
-}
-
 // When a peer reports that its store has become unavailable or has recovered, this router
 // checks the store itself.
 void update_peer_store_state(router_state& router, const router_address& peer, bool unavailable,
@@ -208,78 +85,30 @@
              "Peer joined, returned or restarted. peer=" + from.address.value +
                  " domain=" + gossip.domain() + " incarnation=" + std::to_string(from.incarnation));
   }
-  apply_peer_loads(router, from.address, gossip, now);
+  on_report_received(router.membership, from.address, gossip.round(), gossip.wants_digest(), now);
   std::map<std::uint64_t, token_usage> reported_usage;
   for (const wire::organisation_use& usage : gossip.organisations()) {
     reported_usage[usage.organisation()] = {static_cast<double>(usage.asked_tokens()),
                                             static_cast<double>(usage.served_tokens())};
   }
-  update_peer_usage(router.shares, from.address, std::move(reported_usage),
-                    now + router.membership.report_ttl);
+  apply_load_row(router, from.address, {gossip.targets().begin(), gossip.targets().end()},
+                 std::move(reported_usage), now);
+  if (router.membership.uses_delegates) {
+    for (const wire::target_use& usage : gossip.targets()) {
+      add_prefills(router.digests.domain_prefills, usage.target(), usage);
+    }
+  }
   apply_crash_reports(router, gossip, now);
   update_peer_store_state(router, from.address, gossip.store_disturbed(), now);
   auto sender = router.membership.peers.find(from.address);
   if (sender != router.membership.peers.end()) {
     sender->second.overloaded = gossip.overloaded();
+    sender->second.processor_percent = static_cast<int>(gossip.processor_percent());
   }
-  request_items_if_behind(router, from.address, gossip, now);
-}
-
-void on_items_request(router_state& router, const router_identity& from,
-                      const wire::items_request& request) {
-  bool complete = false;
-  const std::vector<platform::store_item> items = platform::items_after(
-      router.store, {request.after_epoch(), request.after_revision()}, complete);
-  complete = complete && router.store.loaded_prefixes.contains(platform::operator_prefix) &&
-             router.store.loaded_prefixes.contains(platform::target_prefix);
-  outgoing_message message;
-  message.to = from.address;
-  message.to_incarnation = from.incarnation;
-  wire::items_reply& reply = *message.message.mutable_items_reply();
-  const store_revision as_of =
-      std::min(router.store.newest_operator_revision, router.store.newest_target_revision);
-  reply.set_as_of(as_of.number);
-  reply.set_as_of_epoch(as_of.epoch);
-  reply.set_store_disturbed(
-      platform::was_unavailable_within(router.store, router.settings.store_touch, current_time()));
-  reply.set_complete(complete);
-  for (const platform::store_item& item : items) {
-    wire::stored_item& stored_item = *reply.add_items();
-    stored_item.set_key(item.key);
-    stored_item.set_value(item.value);
-    stored_item.set_revision(item.revision.number);
-    stored_item.set_epoch(item.revision.epoch);
-    stored_item.set_removed(item.removed);
-  }
-  send_message(*router.peer_mesh, message);
-}
-
-void on_items_reply(router_state& router, const router_identity& from,
-                    const wire::items_reply& reply) {
-  const instant now = current_time();
-  const platform::item_source source = reply.store_disturbed()
-                                           ? platform::item_source::peer_without_store
-                                           : platform::item_source::peer;
-  const store_revision as_of{reply.as_of_epoch(), reply.as_of()};
-  std::vector<platform::store_item> items;
-  std::set<std::string> present_keys;
-  for (const wire::stored_item& item : reply.items()) {
-    items.push_back({item.key(), item.value(), {item.epoch(), item.revision()}, item.removed()});
-    present_keys.insert(item.key());
-  }
-  log_line(log_part::config, log_level::info,
-           "Items from a peer. peer=" + from.address.value +
-               " items=" + std::to_string(items.size()) + " as_of=" + to_text(as_of) +
-               " complete=" + (reply.complete() ? "1" : "0"));
-  platform::apply_items(router.store, items, source, now);
-  if (reply.complete()) {
-    for (const char* prefix : {platform::operator_prefix, platform::target_prefix}) {
-      platform::remove_missing_items(router.store, prefix, present_keys, as_of, source, now);
-    }
-  }
-  if (router.store_client.on_change) {
-    router.store_client.on_change();
-  }
+  request_items_if_behind(router, from.address,
+                          {{gossip.store_epoch(), gossip.operator_revision()},
+                           {gossip.store_epoch(), gossip.target_revision()}},
+                          now);
 }
 
 void set_gossip_peers(wire::gossip& gossip, const std::vector<router_address>& peers) {
@@ -299,31 +128,32 @@
   mark_full_peer_list_sent(router.membership, peer, now);
 }
 
-}  // namespace
-
-void send_gossip(router_state& router) {
-  const instant now = current_time();
-  expire_peers(router.membership, now);
+// A report without load: who this router is and what it knows of the store.
+wire::peer_message make_report(const router_state& router) {
   wire::peer_message message;
   wire::gossip& gossip = *message.mutable_gossip();
   gossip.set_domain(router.settings.domain.value);
   gossip.set_leaving(router.stopping);
-  gossip.set_store_disturbed(router.store.unavailable);
+  gossip.set_store_disturbed(router.store_client.reading && router.store.unavailable);
   gossip.set_overloaded(router.overload.shedding);
-  const store_revision& operator_revision = router.store.newest_operator_revision;
-  const store_revision& target_revision = router.store.newest_target_revision;
-  const std::uint64_t epoch = std::max(operator_revision.epoch, target_revision.epoch);
-  gossip.set_store_epoch(epoch);
-  gossip.set_operator_revision(operator_revision.epoch == epoch ? operator_revision.number : 0);
-  gossip.set_target_revision(target_revision.epoch == epoch ? target_revision.number : 0);
+  gossip.set_processor_percent(static_cast<std::uint32_t>(router.membership.processor_percent));
+  gossip.set_round(router.membership.round);
+  set_revisions(router, gossip);
+  return message;
+}
+
+// A round of a small fleet, or of a router that does not know its fleet yet.
+void send_direct_round(router_state& router, instant now) {
   const gossip_round round = next_gossip_round(router.membership, now);
   if (round.starts_cycle) {
     rotate_prefill_reports(router.loads);
     disconnect_peers_except(*router.peer_mesh, known_peers(router.membership));
   }
+  wire::peer_message message = make_report(router);
+  wire::gossip& gossip = *message.mutable_gossip();
   add_target_loads(router, gossip);
   add_organisation_usage(router, gossip);
-  add_crash_reports(router, gossip, now);
+  add_crash_reports(router, false, now, gossip);
   std::vector<router_address> peers_with_full_list;
   for (const router_address& peer : round.peers) {
     if (needs_full_peer_list(router.membership, peer)) {
@@ -337,12 +167,163 @@
   send_to_peers(*router.peer_mesh, peers_with_full_list, message);
 }
 
+void send_delegated_round(router_state& router, instant now) {
+  rotate_prefill_reports(router.loads);
+  router.digests.plan = plan_exchange(router.membership, router.random, now);
+  const exchange_plan& plan = router.digests.plan;
+  send_to_peers(*router.peer_mesh, plan.silent, make_report(router));
+  wire::peer_message message = make_report(router);
+  wire::gossip& gossip = *message.mutable_gossip();
+  add_target_loads(router, gossip);
+  add_organisation_usage(router, gossip);
+  add_crash_reports(router, false, now, gossip);
+  record_sent_report(router, gossip);
+  for (const wire::target_use& usage : gossip.targets()) {
+    add_prefills(router.digests.domain_prefills, usage.target(), usage);
+  }
+  for (const router_address& delegate : plan.reports_to) {
+    gossip.set_wants_digest(delegate == router.membership.primary);
+    send_to_peers(*router.peer_mesh, {delegate}, message);
+  }
+  send_digests(router, now);
+  disconnect_idle_peers(*router.peer_mesh, max_peer_idle, now);
+}
+
+}  // namespace
+
+std::uint32_t target_hash(const target_name& target) {
+  return static_cast<std::uint32_t>(stable_hash(target.value));
+}
+
+std::uint32_t router_hash(const router_address& router) {
+  return static_cast<std::uint32_t>(stable_hash(router.value));
+}
+
+void update_target_index(router_state& router) {
+  if (router.target_by_hash_generation == router.store.targets.generation) {
+    return;
+  }
+  router.target_by_hash_generation = router.store.targets.generation;
+  router.target_by_hash.clear();
+  for (const std::pair<const target_name, target_state>& entry : router.store.targets.targets) {
+    router.target_by_hash[target_hash(entry.first)] = entry.first;
+  }
+}
+
+std::uint32_t age_ms(instant at, instant now) {
+  return static_cast<std::uint32_t>(std::max(0.0, to_ms(now - at)));
+}
+
+std::uint32_t to_whole_tokens(double tokens) {
+  return static_cast<std::uint32_t>(std::max(0.0, tokens));
+}
+
+// Adds crash events, and the completions that clear signatures of such events.
+template <class Message>
+void add_crash_reports(const router_state& router, bool relay, instant now, Message& message) {
+  for (const crash_event& event :
+       events_to_report(router.crash_suspects, router.self.address, max_reported_signatures,
+                        now - router.membership.report_ttl, relay)) {
+    wire::crash_event& report = *message.add_crash_events();
+    report.set_target(event.target);
+    report.set_age_ms(age_ms(event.at, now));
+    for (const std::pair<const std::uint64_t, std::uint64_t>& entry : event.signatures) {
+      report.add_signatures(entry.first);
+      report.add_fingerprints(entry.second);
+    }
+    for (const router_address& reporter : event.reporters) {
+      report.add_reporters(reporter.value);
+    }
+  }
+  for (const std::pair<std::uint64_t, instant>& completion : completions_to_report(
+           router.crash_suspects, max_reported_completions, now - router.membership.report_ttl)) {
+    wire::completed_call& report = *message.add_completions();
+    report.set_signature(completion.first);
+    report.set_age_ms(age_ms(completion.second, now));
+  }
+}
+
+// The suspects are computed with the next tick. Completions come first, so that what they clear is
+// not added.
+template <class Message>
+void apply_crash_reports(router_state& router, const Message& message, instant now) {
+  for (const wire::completed_call& report : message.completions()) {
+    record_completion(router.crash_suspects, {report.signature()},
+                      now - milliseconds{report.age_ms()});
+  }
+  for (const wire::crash_event& report : message.crash_events()) {
+    crash_event event;
+    event.target = report.target();
+    event.at = now - milliseconds{report.age_ms()};
+    const int count = std::min(report.signatures_size(), report.fingerprints_size());
+    for (int index = 0; index < count; ++index) {
+      event.signatures.emplace(report.signatures(index), report.fingerprints(index));
+    }
+    for (const std::string& reporter : report.reporters()) {
+      event.reporters.insert(router_address{reporter});
+    }
+    record_crash(router.crash_suspects, event, now);
+  }
+}
+
+template void add_crash_reports(const router_state&, bool, instant, wire::gossip&);
+template void add_crash_reports(const router_state&, bool, instant, wire::digest&);
+template void apply_crash_reports(router_state&, const wire::gossip&, instant);
+template void apply_crash_reports(router_state&, const wire::digest&, instant);
+
+void apply_load_row(router_state& router, const router_address& row,
+                    const std::vector<wire::target_use>& targets,
+                    std::map<std::uint64_t, token_usage> usage, instant now) {
+  update_target_index(router);
+  reported_targets reported;
+  reported.valid_until = now + router.membership.report_ttl;
+  for (const wire::target_use& entry : targets) {
+    auto found = router.target_by_hash.find(entry.target());
+    if (found == router.target_by_hash.end()) {
+      continue;
+    }
+    const std::vector<std::uint32_t> prefixes(entry.read_prefixes().begin(),
+                                              entry.read_prefixes().end());
+    const peer_load load{static_cast<int>(entry.running()),
+                         static_cast<double>(entry.unread_tokens()),
+                         static_cast<double>(entry.memory_tokens()), reported.valid_until};
+    update_peer_load(router.loads, row, found->second, load, prefixes, entry.tokens_read());
+    reported.targets.push_back(found->second);
+  }
+  complete_peer_report(router.loads, row, std::move(reported));
+  update_peer_usage(router.shares, row, std::move(usage), now + router.membership.report_ttl);
+}
+
+void drop_load_row(router_state& router, const router_address& row, instant now) {
+  if (router.loads.peer_reports.contains(row)) {
+    apply_load_row(router, row, {}, {}, now);
+    router.loads.peer_reports.erase(row);
+  }
+  router.shares.peer_usage.erase(row);
+}
+
+void send_gossip(router_state& router) {
+  const instant now = current_time();
+  expire_peers(router.membership, now);
+  refresh_peer_counts(router.membership, now);
+  update_exchange_mode(router.membership);
+  update_store_reading(router, now);
+  if (router.membership.uses_delegates) {
+    send_delegated_round(router, now);
+  } else {
+    send_direct_round(router, now);
+  }
+}
+
 void on_peer_message(router_state& router, const router_identity& from,
                      const wire::peer_message& message) {
   switch (message.body_case()) {
     case wire::peer_message::kGossip:
       on_gossip(router, from, message.gossip());
       break;
+    case wire::peer_message::kDigest:
+      on_digest(router, from, message.digest());
+      break;
     case wire::peer_message::kItemsRequest:
       on_items_request(router, from, message.items_request());
       break;
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -27,6 +27,8 @@
 constexpr std::size_t max_internal_connections = 32;  // per listener: readiness, control, metrics
 
 constexpr milliseconds share_log_interval{1'000};
+// A router that starts learns within this time whether others read the store for it.
+constexpr milliseconds first_watch_delay{1'500};
 constexpr std::size_t max_logged_organisations = 4;  // those that were served most tokens
 
 std::string tokens_text(double tokens) {
@@ -124,7 +126,7 @@
 // stop announcing the end of their connections, and new connections may be rejected.
 void update_overload(router_state& router, duration loop_time, instant now) {
   const overload_state before = router.overload;
-  record_loop_time(router.overload, loop_time, peers_accept_calls(router, now), now);
+  record_loop_time(router.overload, loop_time, peers_accept_calls(router), now);
   const overload_state& after = router.overload;
   if (after.shedding == before.shedding &&
       after.closing_new_connections == before.closing_new_connections) {
@@ -182,6 +184,7 @@
     update_overload(router, probed_at - now - loop_probe_delay, probed_at);
   });
   receive_messages(*router.peer_mesh);
+  refresh_peer_counts(router.membership, now);
   platform::remove_expired_targets(router.store, now);
   remove_stale_target_state(router);
   update_readiness(router);
@@ -191,7 +194,8 @@
   log_shares(router, now);
   expire_peer_loads(router.loads, now);
   update_crash_suspects(router);
-  platform::set_live_peer_count(router.store_client, live_peer_count(router.membership, now), now);
+  platform::set_live_peer_count(router.store_client,
+                                expected_store_readers(router.membership) - 1, now);
   close_stale_connections(router.target_client, now);
   close_stale_connections(router.store_client.http, now);
   if (router.stopping) {
@@ -356,6 +360,11 @@
   router.target_client.base = router.base.get();
   router.membership = make_membership(router.self, mesh_seeds(settings), settings.gossip_interval,
                                       router.started_at);
+  router.membership.domain = settings.domain;
+  router.membership.processor_percent = static_cast<int>(settings.processor_share * 100);
+  if (!router.membership.peers.empty()) {
+    router.store_client.first_watch_delay = first_watch_delay;
+  }
   if (!try_open([&router]() { return open_sockets(router); })) {
     flush_log();
     return 1;
@@ -370,6 +379,7 @@
                                router.store, [&router]() {
                                  remove_stale_target_state(router);
                                  update_readiness(router);
+                                 pass_on_items(router);
                                });
   start_timers_and_signal_handlers(router);
   event_base_dispatch(router.base.get());
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -7,15 +7,18 @@
 // Thread safety: none; for use from one event loop.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "core/calls/call.h"
 #include "core/calls/event_stream.h"
+#include "core/fleet/delegates.h"
 #include "core/fleet/fleet.h"
 #include "core/routing/routing.h"
 #include "core/settings/settings.h"
@@ -95,6 +98,54 @@
   double failure_rate = 0;  // over all targets of the pool, moving average
 };
 
+// Prefills that the next digest passes on, by hash of the target.
+struct prefill_sum {
+  double tokens = 0;
+  std::set<std::uint32_t> prefixes;
+};
+using prefill_sums = std::unordered_map<std::uint32_t, prefill_sum>;
+
+struct sent_target_use {
+  peer_load load;
+  double prefilled_tokens = 0;
+};
+
+// What a report of this router held.
+struct sent_report {
+  std::uint32_t round = 0;
+  std::unordered_map<std::uint32_t, sent_target_use> targets;  // by hash
+  std::map<std::uint64_t, token_usage> organisations;          // likewise
+};
+
+// When a list of members was last sent, and what it held.
+struct sent_list {
+  std::uint64_t hash = 0;
+  instant at{};
+};
+
+struct digest_state {
+  exchange_plan plan;  // of the last round
+  std::deque<sent_report> sent_reports;
+  std::uint32_t last_included_round = 0;  // the newest own report that a digest has included
+  prefill_sums domain_prefills;           // of this router and those that report to it
+  prefill_sums foreign_prefills;          // of other domains
+  sent_list fleet_list;
+  sent_list domain_list;
+  instant view_at{};          // age of what is known of the fleet: no part of it is older
+  instant foreign_view_at{};  // at a delegate: of the newest digest of another domain
+};
+
+// Which of the store's items this router knows, where others read the store for it.
+struct item_progress {
+  // All items up to these revisions are known.
+  store_revision known_operator;
+  store_revision known_target;
+  // Up to these, changes were passed on to the routers that rely on this one.
+  store_revision passed_operator;
+  store_revision passed_target;
+  instant read_store_until{};  // reads the store itself until then, whatever others do
+};
+
 struct router_state {
   router_settings settings;
   std::string settings_path;
@@ -112,6 +163,8 @@
   std::unique_ptr<mesh> peer_mesh;
 
   membership_table membership;
+  digest_state digests;
+  item_progress items;
   load_table loads;
   health_table health;
   cold_start_limiter cold_limiter;
@@ -155,6 +208,10 @@
 void on_peer_message(router_state& router, const router_identity& from,
                      const wire::peer_message& message);
 
+// peer_items.cc
+// Passes changes of the store's items on to the routers that rely on this one.
+void pass_on_items(router_state& router);
+
 // control_pages.cc
 void handle_readiness_request(router_state& router, const std::shared_ptr<http_exchange>& exchange);
 void handle_control_request(router_state& router, const std::shared_ptr<http_exchange>& exchange);
