Send the list of members to routers that do not know the fleet yet

Cause: a router that knows few peers reports directly, and routers that use delegates did not answer it: it heard of the fleet late, up to 13 s after its start, and read the store until then. Change: such a report says so and is answered with the list.

--- a/core/fleet/delegates.cc
+++ b/core/fleet/delegates.cc
@@ -172,14 +172,17 @@
   return plan;
 }
 
-void on_report_received(membership_table& table, const router_address& from, std::uint32_t round,
-                        bool wants_digest, instant now) {
+void on_report_received(membership_table& table, const router_address& from,
+                        const report_header& header, instant now) {
   auto found = table.peers.find(from);
   if (found == table.peers.end()) {
     return;
   }
-  found->second.report_round = round;
-  found->second.digest_requested_until = wants_digest ? now + digest_request_ttl : instant{};
+  peer_state& peer = found->second;
+  peer.report_round = header.round;
+  peer.digest_requested_until = header.wants_digest ? now + digest_request_ttl : instant{};
+  peer.needs_member_list =
+      peer.needs_member_list || (table.uses_delegates && header.is_direct);
 }
 
 void on_digest_received(membership_table& table, const router_address& from, instant now) {
--- a/core/fleet/delegates.h
+++ b/core/fleet/delegates.h
@@ -87,10 +87,17 @@
 std::vector<router_address> delegate_ranking(const membership_table& table,
                                              const failure_domain_name& domain, instant now);
 
-// Records what a peer's report says beyond on_peer_gossip(): its round and whether it relies on
-// this router for digests.
-void on_report_received(membership_table& table, const router_address& from, std::uint32_t round,
-                        bool wants_digest, instant now);
+// What a peer's report says beyond on_peer_gossip().
+struct report_header {
+  std::uint32_t round = 0;
+  bool wants_digest = false;  // the peer relies on this router
+  bool is_direct = false;     // the peer uses no delegates
+};
+
+// A peer that uses no delegates while this router does may know a part of the fleet only: it gets
+// the list of members after each report.
+void on_report_received(membership_table& table, const router_address& from,
+                        const report_header& header, instant now);
 
 void on_digest_received(membership_table& table, const router_address& from, instant now);
 
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -85,7 +85,8 @@
              "Peer joined, returned or restarted. peer=" + from.address.value +
                  " domain=" + gossip.domain() + " incarnation=" + std::to_string(from.incarnation));
   }
-  on_report_received(router.membership, from.address, gossip.round(), gossip.wants_digest(), now);
+  on_report_received(router.membership, from.address,
+                     {gossip.round(), gossip.wants_digest(), gossip.is_direct()}, now);
   std::map<std::uint64_t, token_usage> reported_usage;
   for (const wire::organisation_use& usage : gossip.organisations()) {
     reported_usage[usage.organisation()] = {static_cast<double>(usage.asked_tokens()),
@@ -138,6 +139,7 @@
   gossip.set_overloaded(router.overload.shedding);
   gossip.set_processor_percent(static_cast<std::uint32_t>(router.membership.processor_percent));
   gossip.set_round(router.membership.round);
+  gossip.set_is_direct(!router.membership.uses_delegates);
   set_revisions(router, gossip);
   return message;
 }
