Refuse before looking at targets; build no log lines that are dropped; try a level by utilisation

Cause: a flooded router looked at all engines before it refused a call for its own load or for the organisation's share, and built the log lines that its budget then dropped. Ruled out: that calls handed to a peer would help; the entry would read and write the same bytes.

--- a/core/fleet/delegates.cc
+++ b/core/fleet/delegates.cc
@@ -21,8 +21,8 @@
 std::vector<router_address> own_delegates(const membership_table& table,
                                           const std::vector<router_address>& ranking) {
   std::vector<router_address> result(
-      ranking.begin(), ranking.begin() + static_cast<std::ptrdiff_t>(std::min(
-                                             ranking.size(), delegates_per_domain)));
+      ranking.begin(), ranking.begin() + static_cast<std::ptrdiff_t>(
+                                             std::min(ranking.size(), delegates_per_domain)));
   std::erase(result, table.self.address);
   return result;
 }
@@ -72,8 +72,8 @@
   for (const failure_domain_name& domain : domains) {
     const std::vector<router_address> ranking = delegate_ranking(table, domain, now);
     result.insert(result.end(), ranking.begin(),
-                  ranking.begin() + static_cast<std::ptrdiff_t>(
-                                        std::min(ranking.size(), delegates_per_domain)));
+                  ranking.begin() +
+                      static_cast<std::ptrdiff_t>(std::min(ranking.size(), delegates_per_domain)));
   }
   return result;
 }
@@ -123,8 +123,8 @@
   // Ordered by: overloaded ones last, the largest processors first, then by hash.
   std::vector<std::tuple<bool, int, std::uint64_t, router_address>> ranked;
   if (domain == table.domain) {
-    ranked.emplace_back(false, -table.processor_percent,
-                        stable_hash(table.self.address.value), table.self.address);
+    ranked.emplace_back(false, -table.processor_percent, stable_hash(table.self.address.value),
+                        table.self.address);
   }
   for (const std::pair<const router_address, peer_state>& entry : table.peers) {
     if (entry.second.domain == domain && can_be_delegate(entry.second, now)) {
@@ -181,8 +181,7 @@
   peer_state& peer = found->second;
   peer.report_round = header.round;
   peer.digest_requested_until = header.wants_digest ? now + digest_request_ttl : instant{};
-  peer.needs_member_list =
-      peer.needs_member_list || (table.uses_delegates && header.is_direct);
+  peer.needs_member_list = peer.needs_member_list || (table.uses_delegates && header.is_direct);
 }
 
 void on_digest_received(membership_table& table, const router_address& from, instant now) {
--- a/core/fleet/delegates.h
+++ b/core/fleet/delegates.h
@@ -20,7 +20,8 @@
 // router that relies on it, whatever its own ranking says, so no agreement is needed.
 //
 // Delegates also read the platform's store for their domain; other routers get the items from them.
-// If the store turns a reader away, further routers of the ranking read it, up to max_store_readers.
+// If the store turns a reader away, further routers of the ranking read it, up to
+// max_store_readers.
 //
 // No safety property depends on any of this. A router that hears no delegate acts on its own
 // counts, reads the store itself, and asks the seeds and a silent peer in each round.
@@ -45,8 +46,8 @@
 inline constexpr std::size_t min_delegated_peers = max_peers_per_round - 4;
 
 inline constexpr std::size_t delegates_per_domain = 2;
-inline constexpr milliseconds digest_timeout{700};    // three rounds at the default interval
-inline constexpr milliseconds avoid_time{5'000};      // a paused router is used again after this
+inline constexpr milliseconds digest_timeout{700};  // three rounds at the default interval
+inline constexpr milliseconds avoid_time{5'000};    // a paused router is used again after this
 inline constexpr milliseconds digest_request_ttl{1'000};
 inline constexpr milliseconds member_list_interval{1'000};
 // A router that was listed is taken for alive until two further lists are overdue.
--- a/core/fleet/membership.h
+++ b/core/fleet/membership.h
@@ -49,13 +49,13 @@
   instant discovered_at{};           // address first seen in seeds or gossip
 
   // For core/fleet/delegates.h.
-  int processor_percent = 0;          // of a core that the peer may use; 0: unknown
-  instant last_report{};              // last message from the peer itself
-  std::uint32_t report_round = 0;     // of that message
-  instant digest_requested_until{};   // until then the peer relies on this router for digests
-  instant last_digest{};              // last digest from the peer
-  instant avoided_until{};            // not used as a delegate: its digests did not arrive
-  bool needs_member_list = false;     // newly heard: it may not know the fleet
+  int processor_percent = 0;         // of a core that the peer may use; 0: unknown
+  instant last_report{};             // last message from the peer itself
+  std::uint32_t report_round = 0;    // of that message
+  instant digest_requested_until{};  // until then the peer relies on this router for digests
+  instant last_digest{};             // last digest from the peer
+  instant avoided_until{};           // not used as a delegate: its digests did not arrive
+  bool needs_member_list = false;    // newly heard: it may not know the fleet
 };
 
 // Counts as of the last refresh_peer_counts().
@@ -75,13 +75,13 @@
   peer_counts counts;
 
   // For core/fleet/delegates.h.
-  failure_domain_name domain;      // of this router
-  int processor_percent = 0;       // likewise
+  failure_domain_name domain;  // of this router
+  int processor_percent = 0;   // likewise
   bool uses_delegates = false;
-  std::uint32_t round = 0;         // of the reports sent
-  router_address primary;          // on whose digests this router relies; empty: on none
+  std::uint32_t round = 0;  // of the reports sent
+  router_address primary;   // on whose digests this router relies; empty: on none
   instant primary_since{};
-  bool cut_off = false;            // no delegate was heard lately
+  bool cut_off = false;  // no delegate was heard lately
 };
 
 // The peers to which one round of gossip is sent.
--- a/core/routing/placement.cc
+++ b/core/routing/placement.cc
@@ -185,6 +185,24 @@
   return std::min(cached_tokens, call_prompt.prompt_tokens);
 }
 
+double engine_utilisation(const load_table& table, const std::vector<engine_limits>& engines) {
+  if (engines.empty()) {
+    return 1;
+  }
+  double slots = 0;
+  double memory = 0;
+  double queue_ms = 0;
+  for (const engine_limits& engine : engines) {
+    const target_load& load = load_or_empty(table, engine.name);
+    slots += static_cast<double>(total_running_calls(load)) / std::max(1, engine.slots);
+    memory +=
+        engine.kv_capacity_tokens <= 0 ? 0 : total_kv_used_tokens(load) / engine.kv_capacity_tokens;
+    queue_ms += total_pending_prefill_tokens(load) / estimated_prefill_tokens_per_ms(table, load);
+  }
+  return std::max({slots, memory, queue_ms / to_ms(busy_queue)}) /
+         static_cast<double>(engines.size());
+}
+
 double engine_sample_fraction(std::size_t rounds_per_cycle) {
   return rounds_per_cycle <= 1
              ? 1
--- a/core/routing/placement.h
+++ b/core/routing/placement.h
@@ -63,6 +63,9 @@
 // The prefix cache is assumed to hold at least this fraction of an engine's KV capacity.
 inline constexpr double min_prefix_cache_fraction = 0.25;
 inline constexpr std::size_t min_sampled_engines = 6;
+// A mean prefill queue of engines that are busy. Calls of organisations above their share are
+// refused at about three times this wait.
+inline constexpr milliseconds busy_queue{60};
 // Engines evict prefixes sooner than the estimate says.
 inline constexpr double prefix_cache_safety_factor = 0.85;
 
@@ -116,7 +119,7 @@
 };
 
 struct load_table {
-  std::map<target_name, target_load> targets;
+  std::unordered_map<target_name, target_load> targets;
   std::map<router_address, reported_targets> peer_reports;
   double mean_prefill_tokens_per_ms = 0;  // over all engines; 0: not measured yet
   double mean_output_token_ms = 0;        // likewise
@@ -168,6 +171,18 @@
   std::uint64_t sample_seed = 0;
 };
 
+// An engine and its limits.
+struct engine_limits {
+  target_name name;
+  int slots = 1;
+  double kv_capacity_tokens = 0;  // 0: unknown
+};
+
+// How much of what the engines can do they do now, over all routers' calls: the largest of the
+// means of slots in use, memory in use, and prefill queue in units of busy_queue. 1 or more: they
+// are busy. 1 if there are no engines.
+double engine_utilisation(const load_table& table, const std::vector<engine_limits>& engines);
+
 // The fraction of the engines that a call chooses among when a gossip cycle takes that many
 // rounds: all of them in a fleet whose routers all report in each round.
 double engine_sample_fraction(std::size_t rounds_per_cycle);
--- a/core/routing/target_health.h
+++ b/core/routing/target_health.h
@@ -12,7 +12,7 @@
 // Thread safety: none; for use from one event loop.
 #pragma once
 
-#include <map>
+#include <unordered_map>
 
 #include "core/base/types.h"
 
@@ -40,7 +40,7 @@
 };
 
 struct health_table {
-  std::map<target_name, target_health> targets;
+  std::unordered_map<target_name, target_health> targets;
 };
 
 // `pool_failure_rate`: fraction of failed calls among the results of all targets
--- a/core/settings/settings.h
+++ b/core/settings/settings.h
@@ -41,11 +41,11 @@
   // after a store failure.
   std::chrono::milliseconds store_touch{3'000};
   std::chrono::milliseconds gossip_interval{200};
-  double processor_share = 0;   // of a core that the process may use; 0: unknown
-  double retry_ratio = 0.2;  // platform's limit on retries in any window: this many per call
-  double retry_slack = 58;   // plus this many, over all routers
-  double cold_over = 1.5;    // limit on calls to a cold target: cold_rate of its pool times this
-  double cold_slack = 5;     // plus this many in any second, over all routers
+  double processor_share = 0;  // of a core that the process may use; 0: unknown
+  double retry_ratio = 0.2;    // platform's limit on retries in any window: this many per call
+  double retry_slack = 58;     // plus this many, over all routers
+  double cold_over = 1.5;      // limit on calls to a cold target: cold_rate of its pool times this
+  double cold_slack = 5;       // plus this many in any second, over all routers
   std::size_t max_connections = 3'000;         // callers' connections
   std::size_t max_body_total = 24 << 20;       // bytes of buffered request bodies, over all calls
   std::size_t stream_buffer_bytes = 64 << 10;  // per slow caller; then back pressure
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -29,10 +29,10 @@
 #include <cstdint>
 #include <functional>
 #include <list>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 #include "core/base/types.h"
 #include "net/http_message.h"
@@ -113,9 +113,9 @@
   event_base* base = nullptr;
   milliseconds default_server_idle_timeout{800};  // if the server sends none
   // By address, most recently used last.
-  std::map<std::string, std::list<client_connection*>> idle_connections;
+  std::unordered_map<std::string, std::list<client_connection*>> idle_connections;
   std::list<client_connection*> all_connections;
-  std::map<std::string, int> connection_count_by_address;
+  std::unordered_map<std::string, int> connection_count_by_address;
   std::uint64_t connections_opened = 0;
   std::uint64_t connections_reused = 0;
   std::uint64_t responses_skipped = 0;
--- a/net/log.cc
+++ b/net/log.cc
@@ -153,11 +153,18 @@
   logger().setLogLevel(to_log4cplus_level(parse_level(level)));
 }
 
+bool reserve_log_line(log_part part, log_level level) {
+  return logger().isEnabledFor(to_log4cplus_level(level)) && consume_line_budget(part, level);
+}
+
+void log_reserved_line(log_part part, log_level level, std::string_view text) {
+  logger().log(to_log4cplus_level(level),
+               std::string(part_name(part)) + ": " + replace_control_characters(text));
+}
+
 void log_line(log_part part, log_level level, std::string_view text) {
-  const log4cplus::LogLevel library_level = to_log4cplus_level(level);
-  if (logger().isEnabledFor(library_level) && consume_line_budget(part, level)) {
-    logger().log(library_level,
-                 std::string(part_name(part)) + ": " + replace_control_characters(text));
+  if (reserve_log_line(part, level)) {
+    log_reserved_line(part, level, text);
   }
 }
 
--- a/net/log.h
+++ b/net/log.h
@@ -33,6 +33,22 @@
 // Queues a line; drops and counts it if a limit is exceeded.
 void log_line(log_part part, log_level level, std::string_view text);
 
+// True if one more line of this part and level is within the limits; it is then counted. Otherwise
+// counts it as dropped.
+bool reserve_log_line(log_part part, log_level level);
+
+// Queues a line for which reserve_log_line() returned true.
+void log_reserved_line(log_part part, log_level level, std::string_view text);
+
+// The same as log_line() for lines of calls: `make_text` is only called if the line is within the
+// limits, since under overload building the lines that are dropped would cost calls.
+template <class MakeText>
+void log_call_line(log_part part, log_level level, MakeText make_text) {
+  if (reserve_log_line(part, level)) {
+    log_reserved_line(part, level, make_text());
+  }
+}
+
 // Writes as much of the buffer as standard output accepts now; never blocks.
 void flush_log();
 
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -404,23 +404,24 @@
   ++call.sends;
   ++call.started_attempts;
   const prompt* call_prompt = prompt_of(call);
-  log_line(
-      log_part::http, log_level::info,
-      "Call sent. call=" + call.request.id + " target=" + target.entry.name.value +
-          " send=" + std::to_string(call.sends) + " tokens_in=" +
-          std::to_string(call_prompt == nullptr ? 0
-                                                : static_cast<int>(call_prompt->prompt_tokens)) +
-          " tokens_out=" +
-          std::to_string(
-              call_prompt == nullptr ? 0 : static_cast<int>(call_prompt->expected_output_tokens)) +
-          " predicted_ms=" + std::to_string(static_cast<int>(choice.first_token_ms)) +
-          " queue_ms=" + std::to_string(static_cast<int>(choice.queue_ms)) +
-          " unread_ahead=" + std::to_string(static_cast<int>(choice.pending_prefill_tokens)) +
-          " kept=" + std::to_string(static_cast<int>(choice.cached_tokens)) +
-          " running=" + std::to_string(choice.running_calls) +
-          " share_position=" + decimal_text(call.share_position) + " level_position=" +
-          decimal_text(call.level_position) + " target_revision=" + to_text(target.entry.revision) +
-          " config=" + std::to_string(call.config->version));
+  log_call_line(log_part::http, log_level::info, [&]() {
+    return "Call sent. call=" + call.request.id + " target=" + target.entry.name.value +
+           " send=" + std::to_string(call.sends) + " tokens_in=" +
+           std::to_string(call_prompt == nullptr ? 0
+                                                 : static_cast<int>(call_prompt->prompt_tokens)) +
+           " tokens_out=" +
+           std::to_string(
+               call_prompt == nullptr ? 0 : static_cast<int>(call_prompt->expected_output_tokens)) +
+           " predicted_ms=" + std::to_string(static_cast<int>(choice.first_token_ms)) +
+           " queue_ms=" + std::to_string(static_cast<int>(choice.queue_ms)) +
+           " unread_ahead=" + std::to_string(static_cast<int>(choice.pending_prefill_tokens)) +
+           " kept=" + std::to_string(static_cast<int>(choice.cached_tokens)) +
+           " running=" + std::to_string(choice.running_calls) +
+           " share_position=" + decimal_text(call.share_position) +
+           " level_position=" + decimal_text(call.level_position) +
+           " target_revision=" + to_text(target.entry.revision) +
+           " config=" + std::to_string(call.config->version);
+  });
   const std::uint64_t exchange_id = call.exchange_id;
   call_handlers handlers;
   handlers.on_head = [&router, exchange_id](const message_head& head) {
--- a/router/call_end.cc
+++ b/router/call_end.cc
@@ -49,21 +49,23 @@
   call.exchange->on_drained = nullptr;
   const log_level level =
       outcome == call_outcome::answered && status < 500 ? log_level::info : log_level::warn;
-  log_line(
-      log_part::http, level,
-      std::string("Call ended. call=") + call.request.id + " outcome=" + outcome_text(outcome) +
-          " status=" + std::to_string(status) + " reason=" + to_text(reason) +
-          " route=" + call.matched_route->name.value + " caller=" + call.organisation.value +
-          " target=" + (call.attempted_targets.empty() ? "" : call.attempted_targets.back().value) +
-          " sends=" + std::to_string(call.sends) +
-          " events=" + std::to_string(call.events_forwarded) + " framing=" + call.response_framing +
-          " unfinished_bytes=" + std::to_string(call.unfinished_event_bytes) +
-          " predicted_ms=" + std::to_string(static_cast<int>(call.predicted_ms)) + " first_ms=" +
-          (call.response_started_at == instant{}
-               ? "-"
-               : ms_text(call.response_started_at - call.arrived_at)) +
-          " total_ms=" + ms_text(now - call.arrived_at) +
-          " config=" + std::to_string(call.config->version));
+  log_call_line(log_part::http, level, [&]() {
+    return std::string("Call ended. call=") + call.request.id +
+           " outcome=" + outcome_text(outcome) + " status=" + std::to_string(status) +
+           " reason=" + to_text(reason) + " route=" + call.matched_route->name.value +
+           " caller=" + call.organisation.value + " target=" +
+           (call.attempted_targets.empty() ? "" : call.attempted_targets.back().value) +
+           " sends=" + std::to_string(call.sends) +
+           " events=" + std::to_string(call.events_forwarded) +
+           " framing=" + call.response_framing +
+           " unfinished_bytes=" + std::to_string(call.unfinished_event_bytes) +
+           " predicted_ms=" + std::to_string(static_cast<int>(call.predicted_ms)) + " first_ms=" +
+           (call.response_started_at == instant{}
+                ? "-"
+                : ms_text(call.response_started_at - call.arrived_at)) +
+           " total_ms=" + ms_text(now - call.arrived_at) +
+           " config=" + std::to_string(call.config->version);
+  });
   record_outcome(router.call_metrics, outcome_text(outcome), to_text(reason));
   record_duration(router.call_metrics.response_time, now - call.arrived_at);
   const std::uint64_t exchange_id = call.exchange_id;
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -192,18 +192,19 @@
 
 void refuse_not_admitted(active_call& call, const placement& choice,
                          const admission_decision& decision) {
-  log_line(log_part::http, log_level::warn,
-           "Call not admitted. call=" + call.request.id + " reason=" + to_text(decision.reason) +
-               " caller=" + call.organisation.value + " tokens_in=" +
-               std::to_string(static_cast<int>(call.request.call_prompt->prompt_tokens)) +
-               " best_target=" + choice.chosen->name.value +
-               " predicted_ms=" + std::to_string(static_cast<int>(choice.first_token_ms)) +
-               " queue_ms=" + std::to_string(static_cast<int>(choice.queue_ms)) +
-               " aim_ms=" + ms_text(call.matched_route->latency_objective) +
-               " unread_ahead=" + std::to_string(static_cast<int>(choice.pending_prefill_tokens)) +
-               " kept=" + std::to_string(static_cast<int>(choice.cached_tokens)) +
-               " share_position=" + decimal_text(call.share_position) +
-               " level_position=" + decimal_text(call.level_position));
+  log_call_line(log_part::http, log_level::warn, [&]() {
+    return "Call not admitted. call=" + call.request.id + " reason=" + to_text(decision.reason) +
+           " caller=" + call.organisation.value + " tokens_in=" +
+           std::to_string(static_cast<int>(call.request.call_prompt->prompt_tokens)) +
+           " best_target=" + choice.chosen->name.value +
+           " predicted_ms=" + std::to_string(static_cast<int>(choice.first_token_ms)) +
+           " queue_ms=" + std::to_string(static_cast<int>(choice.queue_ms)) +
+           " aim_ms=" + ms_text(call.matched_route->latency_objective) +
+           " unread_ahead=" + std::to_string(static_cast<int>(choice.pending_prefill_tokens)) +
+           " kept=" + std::to_string(static_cast<int>(choice.cached_tokens)) +
+           " share_position=" + decimal_text(call.share_position) +
+           " level_position=" + decimal_text(call.level_position);
+  });
   end_with_refusal(call, decision.reason, decision.retry_after);
 }
 
@@ -215,30 +216,40 @@
   if (fraction >= 1 || random_fraction(router) < fraction) {
     return false;
   }
-  log_line(log_part::http, log_level::warn,
-           "Call above the admission level. call=" + call.request.id +
-               " caller=" + call.organisation.value + " tokens_in=" +
-               std::to_string(static_cast<int>(call.request.call_prompt->prompt_tokens)) +
-               " admitted_fraction=" + decimal_text(fraction) +
-               " level_position=" + decimal_text(call.level_position) +
-               " share_position=" + decimal_text(call.share_position));
+  log_call_line(log_part::http, log_level::warn, [&]() {
+    return "Call above the admission level. call=" + call.request.id +
+           " caller=" + call.organisation.value + " tokens_in=" +
+           std::to_string(static_cast<int>(call.request.call_prompt->prompt_tokens)) +
+           " admitted_fraction=" + decimal_text(fraction) +
+           " level_position=" + decimal_text(call.level_position) +
+           " share_position=" + decimal_text(call.share_position);
+  });
   end_with_refusal(
       call, refusal::over_share,
       retry_after(default_retry_after, call.deadline - current_time(), random_fraction(router)));
   return true;
 }
 
+// Refuses a new call for reasons that do not depend on a target: choosing one is the larger part of
+// the cost of a refusal. True if it was refused.
+bool refuse_before_choice(active_call& call, const pool& target_pool) {
+  if (refuse_if_instance_overloaded(call)) {
+    return true;
+  }
+  if (!target_pool.has_engines || !call.request.call_prompt.has_value()) {
+    return false;
+  }
+  const share_table& shares = call.router->shares;
+  call.share_position = share_position(shares, call.organisation);
+  call.level_position = level_position(shares, call.organisation);
+  return refuse_if_above_level(call);
+}
+
 // Chooses the engine for a new call: the one with the lowest cost. If the wait there is too
 // long, falls back to the engine with the earliest first token, provided that its queue is
 // short. Empty if the call was refused.
 std::optional<placement> place_engine_call_or_refuse(active_call& call, const pool& target_pool,
                                                      const std::vector<candidate>& candidates) {
-  const share_table& shares = call.router->shares;
-  call.share_position = share_position(shares, call.organisation);
-  call.level_position = level_position(shares, call.organisation);
-  if (refuse_if_above_level(call)) {
-    return std::nullopt;
-  }
   const placement choice = choose_target(call, target_pool, candidates, false);
   call.predicted_ms = choice.first_token_ms;
   const admission_decision decision = admission_for(call, choice, false);
@@ -258,9 +269,6 @@
 std::optional<placement> place_or_refuse(active_call& call, const pool& target_pool,
                                          const std::vector<candidate>& candidates) {
   const bool is_first_send = call.sends == 0;  // retries are not refused for overload
-  if (is_first_send && refuse_if_instance_overloaded(call)) {
-    return std::nullopt;
-  }
   if (is_first_send && target_pool.has_engines && call.request.call_prompt.has_value()) {
     return place_engine_call_or_refuse(call, target_pool, candidates);
   }
@@ -330,6 +338,9 @@
     end_without_target(call);
     return;
   }
+  if (call.sends == 0 && refuse_before_choice(call, *target_pool)) {
+    return;
+  }
   const std::vector<candidate> candidates = select_candidates(call, *target_pool);
   if (candidates.empty()) {
     end_without_target(call);
--- a/router/peer_digest.cc
+++ b/router/peer_digest.cc
@@ -13,8 +13,8 @@
 namespace peridot {
 namespace {
 
-constexpr std::size_t max_sent_reports = 32;         // 6 s at the default interval
-constexpr std::size_t max_digest_prefixes = 96;      // of one engine, in one digest
+constexpr std::size_t max_sent_reports = 32;     // 6 s at the default interval
+constexpr std::size_t max_digest_prefixes = 96;  // of one engine, in one digest
 constexpr std::size_t max_digest_organisations = 512;
 constexpr std::uint32_t leaving_flag = 1;
 constexpr std::uint32_t overloaded_flag = 2;
@@ -123,8 +123,7 @@
     }
     oldest = std::min(oldest, peer->second.last_report);
     auto usage = router.shares.peer_usage.find(row.first);
-    const bool has_usage =
-        usage != router.shares.peer_usage.end() && !usage->second.second.empty();
+    const bool has_usage = usage != router.shares.peer_usage.end() && !usage->second.second.empty();
     if (!row.second.targets.empty() || has_usage) {
       wire::included_report& included = *digest.add_included();
       included.set_router(router_hash(row.first));
@@ -169,8 +168,7 @@
     member.set_address(entry.identity.address.value);
     member.set_incarnation(entry.identity.incarnation);
     member.set_domain(index.first->second);
-    member.set_flags((entry.leaving ? leaving_flag : 0) |
-                     (entry.overloaded ? overloaded_flag : 0) |
+    member.set_flags((entry.leaving ? leaving_flag : 0) | (entry.overloaded ? overloaded_flag : 0) |
                      (entry.store_unavailable ? store_unavailable_flag : 0));
     member.set_processor_percent(static_cast<std::uint32_t>(entry.processor_percent));
   }
@@ -335,9 +333,8 @@
   refresh_peer_counts(router.membership, now);
   if (joined > 0) {
     log_line(log_part::mesh, log_level::info,
-             "Routers listed by a delegate. delegate=" + from.address.value +
-                 " new=" + std::to_string(joined) +
-                 " live=" + std::to_string(router.membership.counts.live));
+             "Routers listed by a delegate. delegate=" + from.address.value + " new=" +
+                 std::to_string(joined) + " live=" + std::to_string(router.membership.counts.live));
   }
 }
 
--- a/router/peer_items.cc
+++ b/router/peer_items.cc
@@ -58,8 +58,8 @@
       platform::was_unavailable_within(router.store, router.settings.store_touch, current_time()));
   const std::uint64_t epoch = std::max(known.operator_items.epoch, known.target_items.epoch);
   reply.set_to_epoch(epoch);
-  reply.set_to_operator_revision(
-      known.operator_items.epoch == epoch ? known.operator_items.number : 0);
+  reply.set_to_operator_revision(known.operator_items.epoch == epoch ? known.operator_items.number
+                                                                     : 0);
   reply.set_to_target_revision(known.target_items.epoch == epoch ? known.target_items.number : 0);
 }
 
@@ -89,8 +89,7 @@
     return true;  // an answer to a request goes on from what was known then
   }
   const known_revisions known = revisions_known(router);
-  return store_revision{reply.to_epoch(), reply.from_operator_revision()} <=
-             known.operator_items &&
+  return store_revision{reply.to_epoch(), reply.from_operator_revision()} <= known.operator_items &&
          store_revision{reply.to_epoch(), reply.from_target_revision()} <= known.target_items;
 }
 
@@ -106,8 +105,8 @@
 void request_items_if_behind(router_state& router, const router_address& peer,
                              const known_revisions& announced, instant now) {
   const known_revisions own = revisions_known(router);
-  const bool behind = announced.operator_items > own.operator_items ||
-                      announced.target_items > own.target_items;
+  const bool behind =
+      announced.operator_items > own.operator_items || announced.target_items > own.target_items;
   if (!behind) {
     router.peer_ahead_since.erase(peer);
     return;
@@ -215,8 +214,7 @@
 }
 
 void update_store_reading(router_state& router, instant now) {
-  const bool reads =
-      now < router.items.read_store_until || reads_store(router.membership, now);
+  const bool reads = now < router.items.read_store_until || reads_store(router.membership, now);
   if (reads != router.store_client.reading) {
     set_known(router);
     platform::set_reading(router.store_client, reads);
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -144,6 +144,25 @@
                " turned_away=" + std::to_string(connections_rejected));
 }
 
+engine_capacity capacity_of_engines(const router_state& router) {
+  engine_capacity capacity;
+  capacity.rounds_per_cycle = router.membership.rounds_per_cycle;
+  if (router.store.config == nullptr) {
+    return capacity;
+  }
+  capacity.tokens_per_second = router.store.config->tokens_per_second;
+  std::vector<engine_limits> engines;
+  for (const std::pair<const target_name, target_state>& entry : router.store.targets.targets) {
+    const pool* target_pool = find_pool(*router.store.config, entry.second.entry.pool);
+    if (target_pool != nullptr && target_pool->has_engines &&
+        is_usable(router.store.targets, entry.second)) {
+      engines.push_back({entry.first, entry.second.entry.slots, target_pool->kv_capacity_tokens});
+    }
+  }
+  capacity.utilisation = engine_utilisation(router.loads, engines);
+  return capacity;
+}
+
 // Logs the usage of the organisations that this router serves, at most once per
 // share_log_interval and only while demand exceeds the capacity.
 void log_shares(router_state& router, instant now) {
@@ -188,14 +207,12 @@
   platform::remove_expired_targets(router.store, now);
   remove_stale_target_state(router);
   update_readiness(router);
-  update_fair_share(router.shares,
-                    router.store.config == nullptr ? 0 : router.store.config->tokens_per_second,
-                    router.membership.rounds_per_cycle, now);
+  update_fair_share(router.shares, capacity_of_engines(router), now);
   log_shares(router, now);
   expire_peer_loads(router.loads, now);
   update_crash_suspects(router);
-  platform::set_live_peer_count(router.store_client,
-                                expected_store_readers(router.membership) - 1, now);
+  platform::set_live_peer_count(router.store_client, expected_store_readers(router.membership) - 1,
+                                now);
   close_stale_connections(router.target_client, now);
   close_stale_connections(router.store_client.http, now);
   if (router.stopping) {
