--- a/core/routing/fair_share.cc
+++ b/core/routing/fair_share.cc
@@ -167,6 +167,7 @@
 }
 
 void update_fair_share(share_table& table, const engine_capacity& capacity, instant now) {
+  table.capacity = capacity;
   advance_window(table, now);
   // Drops organisations without usage in the window (less than half a token).
   std::erase_if(table.own, [](const std::pair<const organisation_name, token_usage_window>& entry) {
--- a/core/routing/fair_share.h
+++ b/core/routing/fair_share.h
@@ -67,10 +67,18 @@
   double served = 0;
 };
 
+// What the engines can do, as far as it is known.
+struct engine_capacity {
+  double tokens_per_second = 0;      // stated, of all engines; 0: unknown
+  std::size_t rounds_per_cycle = 1;  // of gossip, at least 1
+  double utilisation = 1;            // see engine_utilisation(); 1 or more: busy
+};
+
 struct share_table {
   std::map<organisation_name, token_usage_window> own;  // usage by this router's callers
   // Until when a peer's report is valid, and its usage by hash of the organisation.
   std::map<router_address, std::pair<instant, std::map<std::uint64_t, token_usage>>> peer_usage;
+  engine_capacity capacity;                     // of the last update
   std::int64_t newest_bucket = 0;               // number of the bucket that is filled now
   double fair_share_per_window = 0;             // tokens; 0: no organisation is limited
   double admission_level_per_window = 0;        // likewise; at least the fair share
@@ -99,13 +107,6 @@
 void update_peer_usage(share_table& table, const router_address& peer,
                        std::map<std::uint64_t, token_usage> reported, instant valid_until);
 
-// What the engines can do, as far as it is known.
-struct engine_capacity {
-  double tokens_per_second = 0;      // stated, of all engines; 0: unknown
-  std::size_t rounds_per_cycle = 1;  // of gossip, at least 1
-  double utilisation = 1;            // see engine_utilisation(); 1 or more: busy
-};
-
 // The served tokens times this factor are the capacity that the admission level divides.
 double admission_growth_factor(const engine_capacity& capacity);
 
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -419,6 +419,7 @@
            " running=" + std::to_string(choice.running_calls) +
            " share_position=" + decimal_text(call.share_position) +
            " level_position=" + decimal_text(call.level_position) +
+           " view_age_ms=" + ms_text(fleet_view_age(router, now)) +
            " target_revision=" + to_text(target.entry.revision) +
            " config=" + std::to_string(call.config->version);
   });
--- a/router/call_internal.h
+++ b/router/call_internal.h
@@ -59,6 +59,9 @@
 // True if enough live peers accept new calls.
 bool peers_accept_calls(const router_state& router);
 
+// How old what this router knows of the others may be, for logs.
+duration fleet_view_age(const router_state& router, instant now);
+
 // Ids of the parts of the call's prompt, for logs: hexadecimal, "-" if it has no prompt.
 std::string parts_text(const call_request& request);
 
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -203,7 +203,8 @@
            " unread_ahead=" + std::to_string(static_cast<int>(choice.pending_prefill_tokens)) +
            " kept=" + std::to_string(static_cast<int>(choice.cached_tokens)) +
            " share_position=" + decimal_text(call.share_position) +
-           " level_position=" + decimal_text(call.level_position);
+           " level_position=" + decimal_text(call.level_position) +
+           " view_age_ms=" + ms_text(fleet_view_age(*call.router, current_time()));
   });
   end_with_refusal(call, decision.reason, decision.retry_after);
 }
@@ -222,6 +223,7 @@
            std::to_string(static_cast<int>(call.request.call_prompt->prompt_tokens)) +
            " admitted_fraction=" + decimal_text(fraction) +
            " level_position=" + decimal_text(call.level_position) +
+           " view_age_ms=" + ms_text(fleet_view_age(router, current_time())) +
            " share_position=" + decimal_text(call.share_position);
   });
   end_with_refusal(
@@ -325,6 +327,14 @@
                                    router.membership.counts.live);
 }
 
+duration fleet_view_age(const router_state& router, instant now) {
+  if (!router.membership.uses_delegates) {
+    return router.settings.gossip_interval * router.membership.rounds_per_cycle;
+  }
+  return router.digests.view_at == instant{} ? now - router.started_at
+                                             : now - router.digests.view_at;
+}
+
 pool_state& pool_state_of(router_state& router, const pool_name& name) {
   return router.pools[name];
 }
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -186,7 +186,9 @@
   std::string text =
       "Demand exceeds capacity. reports=" + std::to_string(shares.peer_usage.size()) +
       " fair_share=" + tokens_text(shares.fair_share_per_window) +
-      " admission_level=" + tokens_text(shares.admission_level_per_window);
+      " admission_level=" + tokens_text(shares.admission_level_per_window) +
+      " utilisation=" + decimal_text(shares.capacity.utilisation) +
+      " view_age_ms=" + ms_text(fleet_view_age(router, now));
   for (const named_usage& usage : most_served) {
     text += " " + usage.first.value + "=" + tokens_text(usage.second.served) + "/" +
             tokens_text(usage.second.asked);
