Try the utilisation by the rate of prefills instead of the queues

The queues are long where prompts differ in size while most engines idle (utilisation 2 to 6 by the queues, 0.3 to 0.7 by the rate).

--- a/core/routing/fair_share.h
+++ b/core/routing/fair_share.h
@@ -71,7 +71,7 @@
 struct engine_capacity {
   double tokens_per_second = 0;      // stated, of all engines; 0: unknown
   std::size_t rounds_per_cycle = 1;  // of gossip, at least 1
-  double utilisation = 1;            // see engine_utilisation(); 1 or more: busy
+  double utilisation = 1;            // see update_utilisation(); 1 or more: busy
 };
 
 struct share_table {
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -144,7 +144,7 @@
                " turned_away=" + std::to_string(connections_rejected));
 }
 
-engine_capacity capacity_of_engines(const router_state& router) {
+engine_capacity capacity_of_engines(router_state& router, instant now) {
   engine_capacity capacity;
   capacity.rounds_per_cycle = router.membership.rounds_per_cycle;
   if (router.store.config == nullptr) {
@@ -159,7 +159,7 @@
       engines.push_back({entry.first, entry.second.entry.slots, target_pool->kv_capacity_tokens});
     }
   }
-  capacity.utilisation = engine_utilisation(router.loads, engines);
+  capacity.utilisation = update_utilisation(router.utilisation, router.loads, engines, now);
   return capacity;
 }
 
@@ -209,7 +209,7 @@
   platform::remove_expired_targets(router.store, now);
   remove_stale_target_state(router);
   update_readiness(router);
-  update_fair_share(router.shares, capacity_of_engines(router), now);
+  update_fair_share(router.shares, capacity_of_engines(router, now), now);
   log_shares(router, now);
   expire_peer_loads(router.loads, now);
   update_crash_suspects(router);
