--- a/core/fleet/delegates.cc
+++ b/core/fleet/delegates.cc
@@ -34,6 +34,9 @@
 }
 
 void set_primary(membership_table& table, const router_address& primary, instant now) {
+  if (table.primary.value.empty()) {
+    table.relies_since = now;
+  }
   if (table.primary != primary) {
     table.primary = primary;
     table.primary_since = now;
@@ -52,12 +55,26 @@
 }
 
 void update_cut_off(membership_table& table, instant now) {
-  const std::size_t avoided = static_cast<std::size_t>(
-      std::count_if(table.peers.begin(), table.peers.end(),
-                    [now](const std::pair<const router_address, peer_state>& entry) {
-                      return now < entry.second.avoided_until;
-                    }));
-  table.cut_off = avoided >= cut_off_delegates;
+  table.cut_off = !table.primary.value.empty() &&
+                  now - std::max(table.relies_since, table.last_fleet_digest) > cut_off_time;
+}
+
+bool other_domains_live(const membership_table& table, instant now) {
+  return std::any_of(table.peers.begin(), table.peers.end(),
+                     [&table, now](const std::pair<const router_address, peer_state>& entry) {
+                       return is_alive(entry.second, now) && entry.second.domain != table.domain;
+                     });
+}
+
+// True if this router should rely on its own knowledge. The second delegate does so only while the
+// other domains know it as one.
+bool acts_as_delegate(const membership_table& table, const std::vector<router_address>& ranking,
+                      instant now) {
+  if (!ranks_as_delegate(table, ranking)) {
+    return false;
+  }
+  return ranking.front() == table.self.address || !other_domains_live(table, now) ||
+         now - table.last_foreign_digest <= foreign_digest_timeout;
 }
 
 // Delegates of the other domains.
@@ -145,12 +162,11 @@
   exchange_plan plan;
   ++table.round;
   std::vector<router_address> ranking = delegate_ranking(table, table.domain, now);
-  if (!ranks_as_delegate(table, ranking) && avoid_silent_primary(table, now)) {
+  if (avoid_silent_primary(table, now)) {
     ranking = delegate_ranking(table, table.domain, now);
   }
-  const bool is_delegate = ranks_as_delegate(table, ranking);
   plan.reports_to = own_delegates(table, ranking);
-  set_primary(table, is_delegate || plan.reports_to.empty() ? router_address{} : ranking.front(),
+  set_primary(table, acts_as_delegate(table, ranking, now) ? router_address{} : ranking.front(),
               now);
   update_cut_off(table, now);
   for (std::pair<const router_address, peer_state>& entry : table.peers) {
@@ -184,9 +200,11 @@
   peer.needs_member_list = peer.needs_member_list || (table.uses_delegates && header.is_direct);
 }
 
-void on_digest_received(membership_table& table, const router_address& from, instant now) {
+void on_digest_received(membership_table& table, const router_address& from, bool of_domain,
+                        instant now) {
+  (of_domain ? table.last_foreign_digest : table.last_fleet_digest) = now;
   auto found = table.peers.find(from);
-  if (found == table.peers.end()) {
+  if (found == table.peers.end() || of_domain) {
     return;
   }
   found->second.last_digest = now;
@@ -212,7 +230,10 @@
       found->second.discovered_at = now;
     }
     peer_state& peer = found->second;
-    newly_alive += is_alive(peer, now) ? 0 : 1;
+    if (!is_alive(peer, now) || peer.incarnation != router.identity.incarnation) {
+      ++newly_alive;
+      peer.avoided_until = instant{};
+    }
     peer.alive_until = std::max(peer.alive_until, now + listed_ttl);
     peer.last_heard = now;
     if (reported_lately(peer, now)) {
--- a/core/fleet/delegates.h
+++ b/core/fleet/delegates.h
@@ -27,7 +27,7 @@
 // counts, reads the store itself, and asks the seeds and a silent peer in each round.
 //
 //   exchange_plan plan = plan_exchange(members, now);  // each round, if members.uses_delegates
-//   on_digest_received(members, from, now);
+//   on_digest_received(members, from, of_domain, now);
 //   on_member_list(members, from, of_domain, listed, now);
 //
 // Cost of a round: one pass over the known peers; a member sends two reports, a delegate one digest
@@ -46,14 +46,19 @@
 inline constexpr std::size_t min_delegated_peers = max_peers_per_round - 4;
 
 inline constexpr std::size_t delegates_per_domain = 2;
-inline constexpr milliseconds digest_timeout{700};  // three rounds at the default interval
-inline constexpr milliseconds avoid_time{5'000};    // a paused router is used again after this
+inline constexpr milliseconds digest_timeout{500};  // two rounds at the default interval
+// A router that was silent but did not restart is relied on again after this.
+inline constexpr milliseconds avoid_time{2'000};
 inline constexpr milliseconds digest_request_ttl{1'000};
 inline constexpr milliseconds member_list_interval{1'000};
 // A router that was listed is taken for alive until two further lists are overdue.
 inline constexpr milliseconds listed_ttl{2'500};
-// Delegates avoided at the same time that make a router act as if it were cut off.
-inline constexpr std::size_t cut_off_delegates = 2;
+// Without digests for this time, a router acts as if it were cut off: three delegates have failed
+// one after the other.
+inline constexpr milliseconds cut_off_time{2'000};
+// The second delegate of a domain that gets no digests of other domains for this time is not known
+// to them as a delegate. It then relies on the first.
+inline constexpr milliseconds foreign_digest_timeout{1'000};
 // Routers of a domain that may read the store, and of these, how many do while it serves them.
 inline constexpr std::size_t max_store_readers = 6;
 inline constexpr std::size_t store_readers_per_domain = 2;
@@ -100,7 +105,8 @@
 void on_report_received(membership_table& table, const router_address& from,
                         const report_header& header, instant now);
 
-void on_digest_received(membership_table& table, const router_address& from, instant now);
+void on_digest_received(membership_table& table, const router_address& from, bool of_domain,
+                        instant now);
 
 // Applies a list of live routers. It is complete for the sender's domain (`of_domain`) or for the
 // fleet: a router that is missing in it and has not reported to this one is not alive.
--- a/core/fleet/membership.cc
+++ b/core/fleet/membership.cc
@@ -61,6 +61,9 @@
   }
   peer_state& peer = found->second;
   const bool newly_alive = peer.incarnation != from.incarnation || !is_alive(peer, now);
+  if (newly_alive) {
+    peer.avoided_until = instant{};
+  }
   peer.incarnation = from.incarnation;
   peer.domain = domain;
   peer.leaving = leaving;
--- a/core/fleet/membership.h
+++ b/core/fleet/membership.h
@@ -81,7 +81,10 @@
   std::uint32_t round = 0;  // of the reports sent
   router_address primary;   // on whose digests this router relies; empty: on none
   instant primary_since{};
-  bool cut_off = false;  // no delegate was heard lately
+  instant relies_since{};         // since when this router has relied on some peer's digests
+  instant last_fleet_digest{};    // from any peer
+  instant last_foreign_digest{};  // from a delegate of another domain
+  bool cut_off = false;           // no digest for cut_off_time
 };
 
 // The peers to which one round of gossip is sent.
--- a/core/routing/fair_share.cc
+++ b/core/routing/fair_share.cc
@@ -157,17 +157,12 @@
   table.peer_usage[peer] = {valid_until, std::move(reported)};
 }
 
-double admission_growth_factor(const engine_capacity& capacity) {
-  const double margin =
-      1 + 1 / static_cast<double>(std::max<std::size_t>(1, capacity.rounds_per_cycle));
-  const double at_full_use = capacity.utilisation <= 1 / max_idle_growth_factor
-                                 ? max_idle_growth_factor
-                                 : 1 / capacity.utilisation;
-  return std::max(margin, at_full_use);
+double admission_growth_factor(std::size_t rounds_per_cycle) {
+  return 1 + 1 / static_cast<double>(std::max<std::size_t>(1, rounds_per_cycle));
 }
 
-void update_fair_share(share_table& table, const engine_capacity& capacity, instant now) {
-  table.capacity = capacity;
+void update_fair_share(share_table& table, double tokens_per_second, std::size_t rounds_per_cycle,
+                       instant now) {
   advance_window(table, now);
   // Drops organisations without usage in the window (less than half a token).
   std::erase_if(table.own, [](const std::pair<const organisation_name, token_usage_window>& entry) {
@@ -194,14 +189,14 @@
     total_served += entry.second.served;
   }
   const double stated_capacity =
-      capacity.tokens_per_second * std::chrono::duration<double>(window_length).count();
+      tokens_per_second * std::chrono::duration<double>(window_length).count();
   table.fair_share_per_window = limit_or_zero(asked_per_organisation, stated_capacity);
   table.admission_level_per_window =
       stated_capacity <= 0
           ? 0
-          : limit_or_zero(
-                asked_per_organisation,
-                std::max(stated_capacity, admission_growth_factor(capacity) * total_served));
+          : limit_or_zero(asked_per_organisation,
+                          std::max(stated_capacity,
+                                   admission_growth_factor(rounds_per_cycle) * total_served));
   update_surpluses(table, now);
 }
 
--- a/core/routing/fair_share.h
+++ b/core/routing/fair_share.h
@@ -7,7 +7,7 @@
 //
 //   record_asked_tokens(table, org, tokens, now);
 //   record_served_tokens(table, org, tokens, now);
-//   update_fair_share(table, {.tokens_per_second = ..., .utilisation = ...}, now);  // on each tick
+//   update_fair_share(table, tokens_per_second, rounds_per_cycle, now);  // a few times a second
 //   double position = share_position(table, org);        // served / min(asked, fair share)
 //   if (random >= admitted_fraction(table, org)) refuse
 //
@@ -20,10 +20,7 @@
 // part, by the same fraction at every router, however much it sends and wherever it enters. The
 // sums of a window differ far less between routers than their views of the engines' queues do.
 // The margin lets the level rise until calls are refused for the engines' queues. It is smaller
-// the more rounds a gossip cycle takes, as a router's view of the queues is older then. While the
-// engines have room, it is what they could serve at full use instead, up to
-// max_idle_growth_factor: an organisation whose calls all enter through a few small routers is
-// served less than it asks for, although nothing waits at the engines.
+// the more rounds a gossip cycle takes, as a router's view of the queues is older then.
 //
 // An organisation that starts to flood gets more than the level until all routers know what it
 // asks for. That surplus over the other limited organisations is settled in the following
@@ -49,10 +46,6 @@
 // are evaluated.
 inline constexpr milliseconds share_bucket_width{250};
 
-// Bound of the margin while the engines have room. A flood then gains at most this much in one
-// window.
-inline constexpr double max_idle_growth_factor = 3;
-
 // A ring of buckets, indexed by time.
 struct token_usage_window {
   std::array<double, share_bucket_count> asked{};
@@ -67,18 +60,10 @@
   double served = 0;
 };
 
-// What the engines can do, as far as it is known.
-struct engine_capacity {
-  double tokens_per_second = 0;      // stated, of all engines; 0: unknown
-  std::size_t rounds_per_cycle = 1;  // of gossip, at least 1
-  double utilisation = 1;            // see update_utilisation(); 1 or more: busy
-};
-
 struct share_table {
   std::map<organisation_name, token_usage_window> own;  // usage by this router's callers
   // Until when a peer's report is valid, and its usage by hash of the organisation.
   std::map<router_address, std::pair<instant, std::map<std::uint64_t, token_usage>>> peer_usage;
-  engine_capacity capacity;                     // of the last update
   std::int64_t newest_bucket = 0;               // number of the bucket that is filled now
   double fair_share_per_window = 0;             // tokens; 0: no organisation is limited
   double admission_level_per_window = 0;        // likewise; at least the fair share
@@ -108,10 +93,13 @@
                        std::map<std::uint64_t, token_usage> reported, instant valid_until);
 
 // The served tokens times this factor are the capacity that the admission level divides.
-double admission_growth_factor(const engine_capacity& capacity);
+double admission_growth_factor(std::size_t rounds_per_cycle);
 
 // Recomputes the totals, the fair share, the admission level and the surpluses.
-void update_fair_share(share_table& table, const engine_capacity& capacity, instant now);
+// `tokens_per_second`: stated capacity of all engines; 0: unknown. `rounds_per_cycle`: of gossip,
+// at least 1.
+void update_fair_share(share_table& table, double tokens_per_second, std::size_t rounds_per_cycle,
+                       instant now);
 
 // The tokens served to the organisation in the window, divided by min(asked tokens, fair
 // share); 0 if no organisation is limited, since the engines can serve all that is asked for
--- a/core/routing/placement.cc
+++ b/core/routing/placement.cc
@@ -40,7 +40,6 @@
 constexpr double min_prefill_tokens_per_ms = 3;
 constexpr double max_prefill_tokens_per_ms = 400;
 constexpr double sample_fraction_of_one_round = 0.5;
-constexpr double utilisation_ewma_weight = 0.5;
 constexpr double service_time_ewma_weight = 0.1;
 constexpr double default_service_ms = 60;
 constexpr std::size_t max_tracked_prefixes = 20'000;  // of one engine, about 0.6 MB
@@ -186,37 +185,6 @@
   return std::min(cached_tokens, call_prompt.prompt_tokens);
 }
 
-double update_utilisation(utilisation_meter& meter, const load_table& table,
-                          const std::vector<engine_limits>& engines, instant now) {
-  if (now - meter.sampled_at < utilisation_sample_time) {
-    return meter.value;
-  }
-  double slots = 0;
-  double memory = 0;
-  double prefilled_tokens = 0;
-  double tokens_per_ms = 0;
-  for (const engine_limits& engine : engines) {
-    const target_load& load = load_or_empty(table, engine.name);
-    slots += static_cast<double>(total_running_calls(load)) / std::max(1, engine.slots);
-    memory +=
-        engine.kv_capacity_tokens <= 0 ? 0 : total_kv_used_tokens(load) / engine.kv_capacity_tokens;
-    prefilled_tokens += load.prefilled_tokens;
-    tokens_per_ms += estimated_prefill_tokens_per_ms(table, load);
-  }
-  // An engine that restarted is counted anew, so the sum can fall: no sample then.
-  if (meter.sampled_at != instant{} && prefilled_tokens >= meter.prefilled_tokens &&
-      tokens_per_ms > 0) {
-    const double sample = (prefilled_tokens - meter.prefilled_tokens) /
-                          (tokens_per_ms * to_ms(now - meter.sampled_at));
-    meter.prefill += utilisation_ewma_weight * (sample - meter.prefill);
-  }
-  meter.prefilled_tokens = prefilled_tokens;
-  meter.sampled_at = now;
-  const double count = static_cast<double>(engines.size());
-  meter.value = engines.empty() ? 1 : std::max({meter.prefill, slots / count, memory / count});
-  return meter.value;
-}
-
 double engine_sample_fraction(std::size_t rounds_per_cycle) {
   return rounds_per_cycle <= 1
              ? 1
--- a/core/routing/placement.h
+++ b/core/routing/placement.h
@@ -63,8 +63,6 @@
 // The prefix cache is assumed to hold at least this fraction of an engine's KV capacity.
 inline constexpr double min_prefix_cache_fraction = 0.25;
 inline constexpr std::size_t min_sampled_engines = 6;
-// Over which the rate of prefills is measured: several prompts of each busy engine.
-inline constexpr milliseconds utilisation_sample_time{500};
 // Engines evict prefixes sooner than the estimate says.
 inline constexpr double prefix_cache_safety_factor = 0.85;
 
@@ -170,28 +168,6 @@
   std::uint64_t sample_seed = 0;
 };
 
-// An engine and its limits.
-struct engine_limits {
-  target_name name;
-  int slots = 1;
-  double kv_capacity_tokens = 0;  // 0: unknown
-};
-
-// Measures how busy the engines are.
-struct utilisation_meter {
-  double prefilled_tokens = 0;  // of all engines, at the last sample
-  instant sampled_at{};
-  double prefill = 1;  // moving average: prompt tokens sent over those that the engines can read
-  double value = 1;    // see update_utilisation()
-};
-
-// Updates and returns how much of what the engines can do they do now, over all routers' calls: the
-// largest of prefill rate, mean of the slots in use and mean of the memory in use. 1 or more: they
-// are busy. 1 if there are no engines. The queues do not count: where prompts differ much in size,
-// some engines have long queues while most are idle.
-double update_utilisation(utilisation_meter& meter, const load_table& table,
-                          const std::vector<engine_limits>& engines, instant now);
-
 // The fraction of the engines that a call chooses among when a gossip cycle takes that many
 // rounds: all of them in a fleet whose routers all report in each round.
 double engine_sample_fraction(std::size_t rounds_per_cycle);
--- a/experiment/fleet_model.cc
+++ b/experiment/fleet_model.cc
@@ -541,7 +541,7 @@
     complete_peer_report(receiver.loads, sender_address, std::move(reported));
     update_peer_usage(receiver.shares, sender_address, reported_tokens, valid_until);
   }
-  update_fair_share(sender.shares, {state.scenario->capacity_tokens_per_s, rounds_per_cycle(state)},
+  update_fair_share(sender.shares, state.scenario->capacity_tokens_per_s, rounds_per_cycle(state),
                     state.now);
   add_event(state, state.now + gossip_interval, event_kind::gossip, router_index);
 }
--- a/router/peer_digest.cc
+++ b/router/peer_digest.cc
@@ -396,7 +396,7 @@
 
 void on_digest(router_state& router, const router_identity& from, const wire::digest& digest) {
   const instant now = current_time();
-  on_digest_received(router.membership, from.address, now);
+  on_digest_received(router.membership, from.address, digest.of_domain(), now);
   if (digest.has_members()) {
     apply_members(router, from, digest, now);
   }
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -92,8 +92,13 @@
     reported_usage[usage.organisation()] = {static_cast<double>(usage.asked_tokens()),
                                             static_cast<double>(usage.served_tokens())};
   }
-  apply_load_row(router, from.address, {gossip.targets().begin(), gossip.targets().end()},
-                 std::move(reported_usage), now);
+  // A router that relies on digests counts only those that rely on it: the digests hold the others.
+  if (!router.membership.primary.value.empty() && !gossip.wants_digest()) {
+    drop_load_row(router, from.address, now);
+  } else {
+    apply_load_row(router, from.address, {gossip.targets().begin(), gossip.targets().end()},
+                   std::move(reported_usage), now);
+  }
   if (router.membership.uses_delegates) {
     for (const wire::target_use& usage : gossip.targets()) {
       add_prefills(router.digests.domain_prefills, usage.target(), usage);
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -144,25 +144,6 @@
                " turned_away=" + std::to_string(connections_rejected));
 }
 
-engine_capacity capacity_of_engines(router_state& router, instant now) {
-  engine_capacity capacity;
-  capacity.rounds_per_cycle = router.membership.rounds_per_cycle;
-  if (router.store.config == nullptr) {
-    return capacity;
-  }
-  capacity.tokens_per_second = router.store.config->tokens_per_second;
-  std::vector<engine_limits> engines;
-  for (const std::pair<const target_name, target_state>& entry : router.store.targets.targets) {
-    const pool* target_pool = find_pool(*router.store.config, entry.second.entry.pool);
-    if (target_pool != nullptr && target_pool->has_engines &&
-        is_usable(router.store.targets, entry.second)) {
-      engines.push_back({entry.first, entry.second.entry.slots, target_pool->kv_capacity_tokens});
-    }
-  }
-  capacity.utilisation = update_utilisation(router.utilisation, router.loads, engines, now);
-  return capacity;
-}
-
 // Logs the usage of the organisations that this router serves, at most once per
 // share_log_interval and only while demand exceeds the capacity.
 void log_shares(router_state& router, instant now) {
@@ -187,7 +168,6 @@
       "Demand exceeds capacity. reports=" + std::to_string(shares.peer_usage.size()) +
       " fair_share=" + tokens_text(shares.fair_share_per_window) +
       " admission_level=" + tokens_text(shares.admission_level_per_window) +
-      " utilisation=" + decimal_text(shares.capacity.utilisation) +
       " view_age_ms=" + ms_text(fleet_view_age(router, now));
   for (const named_usage& usage : most_served) {
     text += " " + usage.first.value + "=" + tokens_text(usage.second.served) + "/" +
@@ -209,7 +189,9 @@
   platform::remove_expired_targets(router.store, now);
   remove_stale_target_state(router);
   update_readiness(router);
-  update_fair_share(router.shares, capacity_of_engines(router, now), now);
+  update_fair_share(router.shares,
+                    router.store.config == nullptr ? 0 : router.store.config->tokens_per_second,
+                    router.membership.rounds_per_cycle, now);
   log_shares(router, now);
   expire_peer_loads(router.loads, now);
   update_crash_suspects(router);
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -166,7 +166,6 @@
   digest_state digests;
   item_progress items;
   load_table loads;
-  utilisation_meter utilisation;
   health_table health;
   cold_start_limiter cold_limiter;
   share_table shares;
