--- a/core/fleet/delegates.cc
+++ b/core/fleet/delegates.cc
@@ -288,10 +288,6 @@
   return false;
 }
 
-std::size_t report_age_rounds(const membership_table& table) {
-  return table.uses_delegates ? delegated_report_rounds : table.rounds_per_cycle;
-}
-
 std::size_t expected_store_readers(const membership_table& table) {
   if (!table.uses_delegates) {
     return table.counts.live + 1;
--- a/core/fleet/delegates.h
+++ b/core/fleet/delegates.h
@@ -46,7 +46,6 @@
 inline constexpr std::size_t min_delegated_peers = max_peers_per_round - 4;
 
 inline constexpr std::size_t delegates_per_domain = 2;
-inline constexpr std::size_t delegated_report_rounds = 3;  // to a delegate, to others, to members
 inline constexpr milliseconds digest_timeout{500};  // two rounds at the default interval
 // A router that was silent but did not restart is relied on again after this.
 inline constexpr milliseconds avoid_time{2'000};
@@ -122,10 +121,6 @@
 // True if this router should call the store: always, unless others of its domain do so for it.
 bool reads_store(const membership_table& table, instant now);
 
-// How old what a router knows of the others may be, in rounds: a cycle of direct rounds, or the
-// three steps of a report through delegates.
-std::size_t report_age_rounds(const membership_table& table);
-
 // The number of routers in the fleet that read the store, about.
 std::size_t expected_store_readers(const membership_table& table);
 
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -191,7 +191,7 @@
   update_readiness(router);
   update_fair_share(router.shares,
                     router.store.config == nullptr ? 0 : router.store.config->tokens_per_second,
-                    report_age_rounds(router.membership), now);
+                    router.membership.rounds_per_cycle, now);
   log_shares(router, now);
   expire_peer_loads(router.loads, now);
   update_crash_suspects(router);
