--- a/core/routing/fair_share.cc
+++ b/core/routing/fair_share.cc
@@ -184,17 +184,15 @@
   }
   std::vector<double> asked_per_organisation;
   double total_served = 0;
-  double total_asked = 0;
   for (const std::pair<const std::uint64_t, token_usage>& entry : table.totals) {
     asked_per_organisation.push_back(entry.second.asked);
-    total_asked += entry.second.asked;
     total_served += entry.second.served;
   }
   const double stated_capacity =
       tokens_per_second * std::chrono::duration<double>(window_length).count();
   table.fair_share_per_window = limit_or_zero(asked_per_organisation, stated_capacity);
   table.admission_level_per_window =
-      stated_capacity <= 0 || total_asked <= max_queued_demand * total_served
+      stated_capacity <= 0
           ? 0
           : limit_or_zero(asked_per_organisation,
                           std::max(stated_capacity,
--- a/core/routing/fair_share.h
+++ b/core/routing/fair_share.h
@@ -20,9 +20,7 @@
 // part, by the same fraction at every router, however much it sends and wherever it enters. The
 // sums of a window differ far less between routers than their views of the engines' queues do.
 // The margin lets the level rise until calls are refused for the engines' queues. It is smaller
-// the larger the fleet, since more routers then act on the same view of the queues. While all that
-// is asked for is little more than what is served (max_queued_demand), as in a short burst, nobody
-// is limited by the level: the queues' own limits refuse what exceeds them.
+// the more rounds a gossip cycle takes, as a router's view of the queues is older then.
 //
 // An organisation that starts to flood gets more than the level until all routers know what it
 // asks for. That surplus over the other limited organisations is settled in the following
@@ -48,9 +46,6 @@
 // are evaluated.
 inline constexpr milliseconds share_bucket_width{250};
 
-// Demand relative to the served tokens that is left to the engines' queues.
-inline constexpr double max_queued_demand = 1.4;
-
 // A ring of buckets, indexed by time.
 struct token_usage_window {
   std::array<double, share_bucket_count> asked{};
--- a/router/control_pages.cc
+++ b/router/control_pages.cc
@@ -5,7 +5,7 @@
 #include "net/http_message.h"
 #include "net/log.h"
 #include "platform/wire_headers.h"
-#include "router/router_state.h"
+#include "router/call_internal.h"
 
 namespace peridot {
 namespace {
@@ -47,6 +47,12 @@
        to_double(router.store_client.call_count), true},
       {"peridot_store_failures_total", "Calls to the store that failed.",
        to_double(router.store_client.failure_count), true},
+      {"peridot_reads_store", "1 if this router calls the store, 0 if others do so for it.",
+       router.store_client.reading ? 1.0 : 0.0},
+      {"peridot_uses_delegates", "1 if reports of routers pass through delegates.",
+       router.membership.uses_delegates ? 1.0 : 0.0},
+      {"peridot_view_age_ms", "Age of what is known of other routers.",
+       to_ms(fleet_view_age(router, current_time()))},
       {"peridot_documents_refused_total", "Documents of the store that could not be read.",
        to_double(router.store.rejected_documents), true},
       {"peridot_retries_denied_total", "Further sends that the budget did not allow.",
