--- a/core/testing/crash_suspects_test.cc
+++ b/core/testing/crash_suspects_test.cc
@@ -576,3 +576,20 @@
     CHECK(result.suspects_at_end == 0);
   }
 }
+
+TEST_CASE("a delegate passes on crash events that it learned from others") {
+  const instant now{std::chrono::seconds{1'000}};
+  const router_address reporter{"10.0.0.9:7400"};
+  crash_suspect_table table;
+  crash_event event;
+  event.target = 5;
+  event.at = now;
+  event.signatures.emplace(bad, bad);
+  event.reporters.insert(reporter);
+  record_crash(table, event, now);
+  CHECK(events_to_report(table, self, 96, now - report_ttl).empty());
+  const std::vector<crash_event> relayed =
+      events_to_report(table, self, 96, now - report_ttl, true);
+  REQUIRE(relayed.size() == 1);
+  CHECK(relayed.front().reporters.contains(reporter));
+}
--- a/net/testing/mesh_test.cc
+++ b/net/testing/mesh_test.cc
@@ -225,6 +225,20 @@
   }
 }
 
+TEST_CASE("mesh: connections on which nothing was sent for a while are closed") {
+  mesh_fixture fixture;
+  start_fixture(fixture);
+  outgoing_message message;
+  message.to = router_address{testing::unused_address()};
+  message.message.mutable_gossip();
+  send_message(*fixture.receiver, message);
+  const instant sent_at = current_time();
+  disconnect_idle_peers(*fixture.receiver, milliseconds{1'000}, sent_at + milliseconds{900});
+  CHECK(fixture.receiver->peers.size() == 1);
+  disconnect_idle_peers(*fixture.receiver, milliseconds{1'000}, sent_at + milliseconds{1'100});
+  CHECK(fixture.receiver->peers.empty());
+}
+
 TEST_CASE("mesh: a long queue is read without recursion, and in order") {
   mesh_fixture fixture;
   start_fixture(fixture);
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -232,8 +232,8 @@
   return true;
 }
 
-// Refuses a new call for reasons that do not depend on a target: choosing one is the larger part of
-// the cost of a refusal. True if it was refused.
+// Refuses a new call for reasons that do not depend on a target, so that under a flood a refusal
+// does not pay for a look at each target. True if it was refused.
 bool refuse_before_choice(active_call& call, const pool& target_pool) {
   if (refuse_if_instance_overloaded(call)) {
     return true;
--- a/router/peer_items.cc
+++ b/router/peer_items.cc
@@ -38,7 +38,8 @@
   known = std::max(known, to);
 }
 
-void add_items(const std::vector<platform::store_item>& items, wire::items_reply& reply) {
+void add_items(const router_state& router, const std::vector<platform::store_item>& items,
+               wire::items_reply& reply) {
   for (const platform::store_item& item : items) {
     wire::stored_item& stored_item = *reply.add_items();
     stored_item.set_key(item.key);
@@ -46,6 +47,7 @@
     stored_item.set_revision(item.revision.number);
     stored_item.set_epoch(item.revision.epoch);
     stored_item.set_removed(item.removed);
+    stored_item.set_may_be_expired(platform::is_possible_expiry(router.store, item));
   }
 }
 
@@ -75,7 +77,7 @@
     const bool is_operator_item = item.key.starts_with(platform::operator_prefix);
     return item.revision <= (is_operator_item ? from.operator_items : from.target_items);
   });
-  add_items(items, update);
+  add_items(router, items, update);
   set_reply_state(router, to, update);
   update.set_is_update(true);
   update.set_from_operator_revision(from.operator_items.number);
@@ -150,7 +152,7 @@
   wire::items_reply& reply = *message.message.mutable_items_reply();
   set_reply_state(router, revisions_known(router), reply);
   reply.set_complete(complete);
-  add_items(items, reply);
+  add_items(router, items, reply);
   send_message(*router.peer_mesh, message);
 }
 
@@ -162,18 +164,22 @@
                                            : platform::item_source::peer;
   const store_revision as_of{reply.as_of_epoch(), reply.as_of()};
   std::vector<platform::store_item> items;
+  std::vector<platform::store_item> possible_expiries;
   std::set<std::string> present_keys;
   for (const wire::stored_item& item : reply.items()) {
-    items.push_back({item.key(), item.value(), {item.epoch(), item.revision()}, item.removed()});
+    (item.may_be_expired() ? possible_expiries : items)
+        .push_back({item.key(), item.value(), {item.epoch(), item.revision()}, item.removed()});
     present_keys.insert(item.key());
   }
   const bool continues = continues_known(router, reply);
   log_line(log_part::config, log_level::info,
            "Items from a peer. peer=" + from.address.value +
-               " items=" + std::to_string(items.size()) + " as_of=" + to_text(as_of) +
+               " items=" + std::to_string(reply.items_size()) + " as_of=" + to_text(as_of) +
                " update=" + (reply.is_update() ? "1" : "0") + " gap=" + (continues ? "0" : "1") +
                " complete=" + (reply.complete() ? "1" : "0"));
-  platform::apply_items(router.store, items, source, now);
+  platform::apply_items(router.store, items, platform::item_source::peer, now);
+  platform::apply_items(router.store, possible_expiries, platform::item_source::peer_without_store,
+                        now);
   if (reply.complete()) {
     for (const char* prefix : {platform::operator_prefix, platform::target_prefix}) {
       platform::remove_missing_items(router.store, prefix, present_keys, as_of, source, now);
