Lint headers too

The generated code had put the whole source folder on the system include path, so that clang-tidy skipped the project's headers.

--- a/core/base/types.h
+++ b/core/base/types.h
@@ -29,6 +29,7 @@
 template <class Tag>
 struct name {
   std::string value;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 of a comparison for a pointer
   friend auto operator<=>(const name&, const name&) = default;
   friend bool operator==(const name&, const name&) = default;
 };
@@ -47,6 +48,7 @@
 struct router_identity {
   router_address address;
   std::uint64_t incarnation = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): as above
   friend auto operator<=>(const router_identity&, const router_identity&) = default;
   friend bool operator==(const router_identity&, const router_identity&) = default;
 };
--- a/core/fleet/config_and_targets.h
+++ b/core/fleet/config_and_targets.h
@@ -116,6 +116,7 @@
   std::uint64_t epoch = 0;
   std::uint64_t number = 0;  // 0: none
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): as in core/base/types.h
   friend std::strong_ordering operator<=>(const store_revision&, const store_revision&) = default;
 };
 
