--- a/net/testing/raw_peers.h
+++ b/net/testing/raw_peers.h
@@ -55,8 +55,8 @@
 inline std::string unused_address() {
   const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address = loopback(0);
-  ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  const std::string text = bound_address(socket);
+  const int bound = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  std::string text = bound == 0 ? bound_address(socket) : "";
   ::close(socket);
   return text;
 }
