Learn from routers that read the store that removals of targets are final

Callers' calls reached targets up to 3.6 s after their entries had been removed (DRAIN, bound 3 s), through all routers of one failure domain: the store turned its readers away, so each took the removal for an entry that may have expired during an outage, and none of them could know better. Routers of other domains read the removal from a store that served them, and did not say so.

Reports and digests carry the revision up to which a router that reads the store undisturbed knows all removals to be final. It only grows; it says nothing of entries that are set again.

The test in digest_test.cc failed with the effect of the revision switched off.

--- a/router/peer_digest.cc
+++ b/router/peer_digest.cc
@@ -420,6 +420,7 @@
                           {{digest.store_epoch(), digest.operator_revision()},
                            {digest.store_epoch(), digest.target_revision()}},
                           now);
+  apply_settled_removals(router, {digest.store_epoch(), digest.settled_revision()}, now);
 }
 
 }  // namespace peridot
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -118,6 +118,7 @@
                           {{gossip.store_epoch(), gossip.operator_revision()},
                            {gossip.store_epoch(), gossip.target_revision()}},
                           now);
+  apply_settled_removals(router, {gossip.store_epoch(), gossip.settled_revision()}, now);
 }
 
 void set_gossip_peers(wire::gossip& gossip, const std::vector<router_address>& peers) {
--- a/router/peer_internal.h
+++ b/router/peer_internal.h
@@ -64,7 +64,11 @@
   store_revision target_items;
 };
 known_revisions revisions_known(const router_state& router);
-// Sets the three fields of a report or digest.
+// Up to where removals of targets are known to be final, by this router or another one.
+store_revision settled_removals_known(const router_state& router);
+// A peer knows that removals of targets up to the revision are final.
+void apply_settled_removals(router_state& router, const store_revision& revision, instant now);
+// Sets what a report or digest says of the store's items.
 template <class Message>
 void set_revisions(const router_state& router, Message& message) {
   const known_revisions known = revisions_known(router);
@@ -73,6 +77,8 @@
   message.set_operator_revision(known.operator_items.epoch == epoch ? known.operator_items.number
                                                                     : 0);
   message.set_target_revision(known.target_items.epoch == epoch ? known.target_items.number : 0);
+  const store_revision settled = settled_removals_known(router);
+  message.set_settled_revision(settled.epoch == epoch ? settled.number : 0);
 }
 // Requests items from a peer whose store revisions have been ahead for a while, or at once while
 // this router has no configuration or targets.
--- a/router/peer_items.cc
+++ b/router/peer_items.cc
@@ -104,6 +104,18 @@
   return {router.items.known_operator, router.items.known_target};
 }
 
+store_revision settled_removals_known(const router_state& router) {
+  return knows_all_from_store(router)
+             ? std::max(router.items.settled_target,
+                        platform::settled_removals(router.store, current_time()))
+             : router.items.settled_target;
+}
+
+void apply_settled_removals(router_state& router, const store_revision& revision, instant now) {
+  router.items.settled_target = std::max(router.items.settled_target, revision);
+  platform::settle_removals(router.store, router.items.settled_target, now);
+}
+
 void request_items_if_behind(router_state& router, const router_address& peer,
                              const known_revisions& announced, instant now) {
   const known_revisions own = revisions_known(router);
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -154,6 +154,8 @@
   // Up to these, changes were passed on to the routers that rely on this one.
   store_revision passed_operator;
   store_revision passed_target;
+  // Removals of targets up to here are final, as any router has seen.
+  store_revision settled_target;
   instant read_store_until{};  // reads the store itself until then, whatever others do
 };
 
--- a/router/testing/digest_test.cc
+++ b/router/testing/digest_test.cc
@@ -172,6 +172,49 @@
   }
 }
 
+// Load pattern: the store turns all routers of one domain away, so that they take a removal for a
+// possible expiry, while routers of other domains read that the target was removed.
+TEST_CASE("a domain that the store turns away learns from another one that a removal is final") {
+  router_state router;
+  start_member(router);
+  wire::items_reply update;
+  update.set_is_update(true);
+  wire::stored_item& removal = *update.add_items();
+  removal.set_key("servers/i-1");
+  removal.set_revision(12);
+  removal.set_epoch(1);
+  removal.set_removed(true);
+  removal.set_may_be_expired(true);
+  on_items_reply(router, delegate, update);
+  REQUIRE(is_usable(router.store.targets, router.store.targets.targets.at(engine)));
+  router.items.known_operator = {1, 12};
+  router.items.known_target = {1, 12};
+  wire::digest digest;
+  digest.set_domain("b");
+  digest.set_store_epoch(1);
+  SUBCASE("by a digest: the target gets no calls any more") {
+    digest.set_settled_revision(12);
+    on_digest(router, delegate, digest);
+    CHECK_FALSE(router.store.targets.targets.contains(engine));
+    SUBCASE("and it passes that on") {
+      wire::gossip own;
+      set_revisions(router, own);
+      CHECK(own.settled_revision() == 12);
+    }
+  }
+  SUBCASE("what was final before the removal says nothing of it") {
+    digest.set_settled_revision(11);
+    on_digest(router, delegate, digest);
+    CHECK(router.store.targets.targets.contains(engine));
+  }
+  SUBCASE("an entry that was set again is in use, also if its removal was final") {
+    router.store.targets.targets.at(engine).entry_expired = false;
+    digest.set_settled_revision(13);
+    on_digest(router, delegate, digest);
+    CHECK(router.store.targets.targets.contains(engine));
+  }
+}
+
 TEST_CASE("a target's limit reaches routers that the target has not told") {
   const instant now = current_time();
   router_state teller;
