Split the load of targets from the choice of a target

placement.cc held the tables of loads, their measurements and peers' reports beside the choice. They move, unchanged, to core/routing/target_loads; placement keeps the choice.

--- a/core/routing/placement.h
+++ b/core/routing/placement.h
@@ -1,23 +1,10 @@
-// Placement: the load of each target as one router sees it, and the choice of a target
-// for a call.
-//
-// An engine handles a call in two phases: prefill processes the prompt, then the output
-// tokens are generated one by one. Its KV cache holds the tokens of running calls and
-// also keeps the prefixes of earlier prompts, so that a shared prefix need not be
-// prefilled again.
+// Placement: the choice of a target for a call, by the load of each (target_loads.h).
 //
 // The time to the first token is predicted from the prompt tokens that wait for prefill
 // at the engine (of this router's calls, and of peers' calls as reported by gossip),
-// the part of the prompt that is cached there, and the measured prefill rate. The
-// content of an engine's prefix cache is estimated with a clock that counts the tokens to
-// prefill of each call when it is sent: a prefix that was last used more than
-// estimated_prefix_cache_tokens() ago counts as evicted (least recently used first).
+// the part of the prompt that is cached there, and the measured prefill rate.
 //
 //   placement choice = choose_engine(table, candidates, call);
-//   call_load added = record_call_sent(table, target, &prompt, kv_capacity_tokens, now);
-//   record_first_token(table, target, added, now);  // prefill is complete
-//   record_call_ended(table, target, added);
-//   expire_peer_loads(table, now);                  // periodically
 //
 // The time to the first token costs little as long as it is within the latency objective,
 // while another prefill of a shared prefix takes engine time from all other calls. Up to
@@ -40,87 +27,23 @@
 // costs more than another prefill); many routers that act on the same outdated report (a
 // router's own sends count at once).
 //
-// Invariants: running_calls >= 0, pending_prefill_tokens >= 0; `peer_total` is the sum of
-// `peer_loads`. A choice takes at most one lookup per candidate and prompt prefix, plus one
+// A choice takes at most one lookup per candidate and prompt prefix, plus one
 // per candidate, whatever the number of routers.
 // Thread safety: none; for use from one event loop.
 #pragma once
 
 #include <cstdint>
-#include <map>
-#include <unordered_map>
 #include <vector>
 
 #include "core/base/types.h"
 #include "core/calls/call.h"
+#include "core/routing/target_loads.h"
 
 namespace peridot {
 
-inline constexpr double min_first_token_overhead_ms = 25;  // one engine step, one round trip
 // Fraction of the shortest latency objective; a time to the first token up to it costs little.
 inline constexpr double on_time_first_token_fraction = 0.9;
-inline constexpr double default_prefill_tokens_per_ms = 30;  // until one was measured
-// The prefix cache is assumed to hold at least this fraction of an engine's KV capacity.
-inline constexpr double min_prefix_cache_fraction = 0.25;
 inline constexpr std::size_t min_sampled_engines = 6;
-// Engines evict prefixes sooner than the estimate says.
-inline constexpr double prefix_cache_safety_factor = 0.85;
-
-// What one call adds to its target's load.
-struct call_load {
-  double prefill_tokens = 0;                  // prompt tokens that are not cached at the target
-  double kv_used_tokens = 0;                  // while the call runs
-  double pending_prefill_tokens_at_send = 0;  // of all calls at the target, this one included
-  bool awaiting_first_token = false;
-  instant sent_at{};
-};
-
-// A peer's calls at one target, by its last report.
-struct peer_load {
-  int running_calls = 0;
-  double pending_prefill_tokens = 0;
-  double kv_used_tokens = 0;
-  instant valid_until{};
-};
-
-// The prefixes and the tokens to prefill of the calls that this router sent to one engine
-// during one gossip cycle, which is the series of rounds that sends each peer one message.
-struct prefill_report {
-  std::vector<std::uint32_t> prefixes;  // low halves of the hashes
-  double tokens = 0;                    // counted when the calls were sent
-};
-
-struct target_load {
-  int running_calls = 0;              // this router's
-  double pending_prefill_tokens = 0;  // likewise
-  double kv_used_tokens = 0;          // likewise
-  std::map<router_address, peer_load> peer_loads;
-  peer_load peer_total;  // the sum of `peer_loads`, so that a choice need not add them up
-  // Clock of the prefix cache: tokens to prefill, counted as calls are sent, of all routers.
-  double prefilled_tokens = 0;
-  // By low half of the hash: the value of `prefilled_tokens` at the last use.
-  std::unordered_map<std::uint32_t, double> prefix_last_used;
-  prefill_report next_prefill_report;     // sent in the next gossip cycle; collected in this one
-  prefill_report current_prefill_report;  // sent in this cycle; collected in the one before
-  // Moving averages; 0: not measured yet.
-  double prefill_tokens_per_ms = 0;
-  double first_token_overhead_ms = 0;  // time to the first token beyond prefill
-  double output_token_ms = 0;          // between two tokens of a stream
-  double service_ms = 0;               // of a whole call at a plain target
-};
-
-// The targets at which a peer had load or prefilled, by its last report.
-struct reported_targets {
-  std::vector<target_name> targets;
-  instant valid_until{};
-};
-
-struct load_table {
-  std::unordered_map<target_name, target_load> targets;
-  std::map<router_address, reported_targets> peer_reports;
-  double mean_prefill_tokens_per_ms = 0;  // over all engines; 0: not measured yet
-  double mean_output_token_ms = 0;        // likewise
-};
 
 struct candidate {
   target_name name;
@@ -139,22 +62,6 @@
   int running_calls = 0;              // likewise
 };
 
-// Sums over all routers.
-int total_running_calls(const target_load& load);
-double total_pending_prefill_tokens(const target_load& load);
-double total_kv_used_tokens(const target_load& load);
-
-// The engine's measured rate; while there is none, the mean of all engines or the default.
-double estimated_prefill_tokens_per_ms(const load_table& table, const target_load& load);
-
-// A prefix that was last used more than this number of tokens ago, by the clock
-// `prefilled_tokens`, counts as evicted.
-double estimated_prefix_cache_tokens(const target_load& load, double kv_capacity_tokens);
-
-// Tokens of the prompt that the target is expected to have cached.
-double cached_prompt_tokens(const target_load& load, const prompt& call_prompt,
-                            double kv_capacity_tokens);
-
 // The properties of a call that choose_engine() depends on.
 struct engine_call {
   const prompt* call_prompt = nullptr;  // never null
@@ -181,38 +88,4 @@
 placement choose_plain_target(const load_table& table, const std::vector<candidate>& candidates,
                               std::uint64_t tie_breaker);
 
-// Adds a call to its target's load. Returns what it added, for the functions below.
-// `call_prompt` is null for a call without a prompt.
-call_load record_call_sent(load_table& table, const target_name& target, const prompt* call_prompt,
-                           double kv_capacity_tokens, instant now);
-void record_first_token(load_table& table, const target_name& target, call_load& added,
-                        instant now);
-// Records the time from one event of a stream to the next, which holds `tokens` tokens.
-void record_event_gap(load_table& table, const target_name& target, duration gap, int tokens);
-// Removes a call from its target's load.
-void record_call_ended(load_table& table, const target_name& target, call_load& added);
-
-// Records the duration of a whole call at a plain target.
-void record_service_time(load_table& table, const target_name& target, duration time);
-
-// To be called when a gossip cycle starts: what the last cycle collected becomes the
-// report that each peer gets once during this cycle.
-void rotate_prefill_reports(load_table& table);
-
-// Replaces the peer's load at the target. `prefixes` (low halves of the hashes) and
-// `prefilled_tokens` are the peer's prefill report and add to earlier ones.
-void update_peer_load(load_table& table, const router_address& peer, const target_name& target,
-                      const peer_load& reported, const std::vector<std::uint32_t>& prefixes,
-                      double prefilled_tokens);
-
-// To be called after a report's targets were updated, with all of them: drops the peer's load at
-// targets that it has reported before and does not report any more.
-void complete_peer_report(load_table& table, const router_address& peer, reported_targets reported);
-
-// Drops peers' loads that are no longer valid.
-void expire_peer_loads(load_table& table, instant now);
-
-// Drops all that is known of a target that restarted or was removed.
-void remove_target_load(load_table& table, const target_name& target);
-
 }  // namespace peridot
--- a/core/routing/routing.h
+++ b/core/routing/routing.h
@@ -7,6 +7,7 @@
 //   target_health.h       which targets are avoided, and which is due for a trial call?
 //   overload.h            is this router instance overloaded?
 //   fair_share.h          has its organisation reached its share of the engines' tokens?
+//   target_loads.h        what each target is doing, and what was measured of it
 //   placement.h           the target of lowest expected cost, and the wait there
 //   admission.h           admitted, or refused on arrival with a retry delay
 //   retry_budget.h        may a call that did not run be sent to another target?
@@ -32,3 +33,4 @@
 #include "core/routing/placement.h"
 #include "core/routing/retry_budget.h"
 #include "core/routing/target_health.h"
+#include "core/routing/target_loads.h"
