Place calls by the speed that targets state

Targets of one pool differ by three times in speed and are slowed by neighbours; nothing read what they say of it.

X-Peridotspur-Server-Load is decoded with three or four figures. Rates are kept for slowdown 1 and scaled by what the target stated last, by its age; reports and digests carry statements of the last second.

--- a/core/fleet/target_statements.h
+++ b/core/fleet/target_statements.h
@@ -53,12 +53,21 @@
 // How long a target that said that it leaves is remembered after its entry is gone.
 inline constexpr milliseconds leaving_retention{60'000};
 
+// What a target says of its load.
+struct reported_load {
+  int running = 0;  // calls
+  int waiting = 0;
+  int slots = 0;
+  double slowdown = 1;  // how long work takes there now; 1: as usual
+};
+
 // What one response says.
 struct response_statements {
   bool leaving = false;
   std::optional<milliseconds> refuses_for;  // takes no calls from this router for so long
   std::optional<double> rate_limit;         // calls per second from all routers; not below 0
   bool limit_unreadable = false;  // a limit is named that cannot be read; `rate_limit` is unset
+  std::optional<reported_load> load;
 };
 
 struct target_statement {
--- a/core/routing/placement.cc
+++ b/core/routing/placement.cc
@@ -133,7 +133,7 @@
     }
     const candidate& engine = candidates[index];
     const target_load& load = *states[index].load;
-    const double prefill_rate = estimated_prefill_tokens_per_ms(table, load);
+    const double prefill_rate = estimated_prefill_tokens_per_ms(table, load, call.now);
     placement choice;
     choice.chosen = &engine;
     choice.fetch = plan_fetch(table, sources, engine, states[index].cached_tokens, fetch_call);
@@ -148,14 +148,15 @@
                       choice.pending_prefill_tokens / prefill_rate;
     choice.first_token_ms =
         min_first_token_overhead_ms + choice.queue_ms + choice.fetch.ms + prefill_ms;
-    double cost = engine_cost(engine, {.prefill_ms = prefill_ms,
-                                       .fetch_ms = choice.fetch.ms,
-                                       .first_token_ms = choice.first_token_ms,
-                                       .on_time_first_token_ms = on_time_first_token_ms,
-                                       .output_ms = call_prompt.expected_output_tokens *
-                                                    estimated_output_token_ms(table, load),
-                                       .time_left_ms = to_ms(call.time_left),
-                                       .running_calls = choice.running_calls});
+    double cost =
+        engine_cost(engine, {.prefill_ms = prefill_ms,
+                             .fetch_ms = choice.fetch.ms,
+                             .first_token_ms = choice.first_token_ms,
+                             .on_time_first_token_ms = on_time_first_token_ms,
+                             .output_ms = call_prompt.expected_output_tokens *
+                                          estimated_output_token_ms(table, load, call.now),
+                             .time_left_ms = to_ms(call.time_left),
+                             .running_calls = choice.running_calls});
     if (call.earliest_first_token) {
       cost = choice.first_token_ms;
     } else if (index == rendezvous_index) {
@@ -171,7 +172,7 @@
 }
 
 placement choose_plain_target(const load_table& table, const std::vector<candidate>& candidates,
-                              std::uint64_t tie_breaker) {
+                              std::uint64_t tie_breaker, instant now) {
   placement best;
   double best_cost = 0;
   for (const candidate& target : candidates) {
@@ -180,14 +181,16 @@
     choice.chosen = &target;
     choice.running_calls = total_running_calls(load);
     const double slots = std::max(1, target.slots);
-    const double service_ms = estimated_service_ms(load);
+    const double service_ms = estimated_service_ms(load, now);
     choice.first_token_ms =
         std::max(0.0, static_cast<double>(choice.running_calls) + 1 - slots) / slots * service_ms;
     const double slot_usage = static_cast<double>(choice.running_calls) / slots;
     // Below 0.1, the preference for the failure domain. In units of slot usage, as the cost.
     const double tie_break_cost =
         static_cast<double>(stable_hash(target.name.value, tie_breaker) % 1'000) / 10'000;
-    const double cost = slot_usage + tie_break_cost - (target.same_domain ? 0.1 : 0);
+    // The time that the call takes there, in times of slowdown 1 without other calls.
+    const double relative_time = (1 + slot_usage) * estimated_slowdown(load.speed, now);
+    const double cost = relative_time + tie_break_cost - (target.same_domain ? 0.1 : 0);
     if (best.chosen == nullptr || cost < best_cost) {
       best = choice;
       best_cost = cost;
--- a/core/routing/placement.h
+++ b/core/routing/placement.h
@@ -87,10 +87,11 @@
 placement choose_engine(const load_table& table, const std::vector<candidate>& candidates,
                         const engine_call& call);
 
-// For plain targets, which process no prompts: the least loaded by running calls per slot,
-// with a small preference for this router's failure domain. `first_token_ms` is the
-// predicted wait for a slot. `tie_breaker` varies the choice among targets of similar load.
+// For plain targets, which process no prompts: the one where the call takes least time by running
+// calls per slot and the target's speed, with a small preference for this router's failure domain.
+// `first_token_ms` is the predicted wait for a slot. `tie_breaker` varies the choice among targets
+// of similar load.
 placement choose_plain_target(const load_table& table, const std::vector<candidate>& candidates,
-                              std::uint64_t tie_breaker);
+                              std::uint64_t tie_breaker, instant now);
 
 }  // namespace peridot
--- a/core/routing/prefix_fetch.cc
+++ b/core/routing/prefix_fetch.cc
@@ -48,7 +48,7 @@
     return best;
   }
   const target_load& load = load_or_empty(table, destination.name);
-  const double prefill_ms_per_token = 1 / estimated_prefill_tokens_per_ms(table, load);
+  const double prefill_ms_per_token = 1 / estimated_prefill_tokens_per_ms(table, load, call.now);
   const double own_wait_ms = link_wait_ms(load, call.now);
   double best_saved_ms = 0;
   for (const fetch_source& source : sources) {
--- a/core/routing/routing.h
+++ b/core/routing/routing.h
@@ -7,6 +7,7 @@
 //   target_health.h       which targets are avoided, and which is due for a trial call?
 //   overload.h            is this router instance overloaded?
 //   fair_share.h          has its organisation reached its share of the engines' tokens?
+//   target_speed.h        how fast a target works, by its own word
 //   target_loads.h        what each target is doing, and what was measured of it
 //   prefix_fetch.h        prompt parts that one engine fetches from another
 //   placement.h           the target of lowest expected cost, and the wait there
@@ -36,3 +37,4 @@
 #include "core/routing/retry_budget.h"
 #include "core/routing/target_health.h"
 #include "core/routing/target_loads.h"
+#include "core/routing/target_speed.h"
--- a/core/routing/target_loads.cc
+++ b/core/routing/target_loads.cc
@@ -49,6 +49,22 @@
   sum.kv_used_tokens += sign * load.kv_used_tokens;
 }
 
+// Measured, or a default, at slowdown 1.
+double usual_prefill_tokens_per_ms(const load_table& table, const target_load& load) {
+  if (load.prefill_tokens_per_ms > 0) {
+    return load.prefill_tokens_per_ms;
+  }
+  return table.mean_prefill_tokens_per_ms > 0 ? table.mean_prefill_tokens_per_ms
+                                              : default_prefill_tokens_per_ms;
+}
+
+double usual_output_token_ms(const load_table& table, const target_load& load) {
+  if (load.output_token_ms > 0) {
+    return load.output_token_ms;
+  }
+  return table.mean_output_token_ms > 0 ? table.mean_output_token_ms : default_output_token_ms;
+}
+
 // Tokens of the longest prefix that is cached and, if `prefilled`, does not wait for its prefill.
 double count_cached_tokens(const target_load& load, const prompt& call_prompt,
                            double kv_capacity_tokens, bool prefilled) {
@@ -92,8 +108,9 @@
 
 // Whether the first token came as soon as after a fetch, rather than after another prefill.
 bool record_fetch_end(load_table& table, const target_load& load, const call_load& added,
-                      double elapsed_ms) {
-  const double rate = estimated_prefill_tokens_per_ms(table, load);
+                      instant now) {
+  const double elapsed_ms = to_ms(now - added.sent_at);
+  const double rate = estimated_prefill_tokens_per_ms(table, load, now);
   const double expected_ms = estimated_first_token_overhead_ms(load) + added.fetch_ms +
                              added.pending_prefill_tokens_at_send / rate;
   const double saved_ms = std::max(0.0, added.fetched_tokens / rate - added.fetch_ms);
@@ -119,12 +136,9 @@
   return load.kv_used_tokens + load.peer_total.kv_used_tokens;
 }
 
-double estimated_prefill_tokens_per_ms(const load_table& table, const target_load& load) {
-  if (load.prefill_tokens_per_ms > 0) {
-    return load.prefill_tokens_per_ms;
-  }
-  return table.mean_prefill_tokens_per_ms > 0 ? table.mean_prefill_tokens_per_ms
-                                              : default_prefill_tokens_per_ms;
+double estimated_prefill_tokens_per_ms(const load_table& table, const target_load& load,
+                                       instant now) {
+  return usual_prefill_tokens_per_ms(table, load) / estimated_slowdown(load.speed, now);
 }
 
 double estimated_prefix_cache_tokens(const target_load& load, double kv_capacity_tokens) {
@@ -143,11 +157,8 @@
   return count_cached_tokens(load, call_prompt, kv_capacity_tokens, true);
 }
 
-double estimated_output_token_ms(const load_table& table, const target_load& load) {
-  if (load.output_token_ms > 0) {
-    return load.output_token_ms;
-  }
-  return table.mean_output_token_ms > 0 ? table.mean_output_token_ms : default_output_token_ms;
+double estimated_output_token_ms(const load_table& table, const target_load& load, instant now) {
+  return usual_output_token_ms(table, load) * estimated_slowdown(load.speed, now);
 }
 
 double estimated_first_token_overhead_ms(const target_load& load) {
@@ -161,8 +172,9 @@
   return found == table.targets.end() ? empty : found->second;
 }
 
-double estimated_service_ms(const target_load& load) {
-  return load.service_ms > 0 ? load.service_ms : default_service_ms;
+double estimated_service_ms(const target_load& load, instant now) {
+  return (load.service_ms > 0 ? load.service_ms : default_service_ms) *
+         estimated_slowdown(load.speed, now);
 }
 
 call_load record_call_sent(load_table& table, const target_name& target, const prompt* call_prompt,
@@ -217,12 +229,12 @@
   load.pending_prefill_tokens = std::max(0.0, load.pending_prefill_tokens - added.prefill_tokens);
   drop_pending_prefixes(load, added);
   if (added.fetched_tokens > 0) {
-    return record_fetch_end(table, load, added, to_ms(now - added.sent_at));
+    return record_fetch_end(table, load, added, now);
   }
   if (added.pending_prefill_tokens_at_send < min_rate_sample_tokens) {
     const double sample =
         to_ms(now - added.sent_at) -
-        added.pending_prefill_tokens_at_send / estimated_prefill_tokens_per_ms(table, load);
+        added.pending_prefill_tokens_at_send / estimated_prefill_tokens_per_ms(table, load, now);
     load.first_token_overhead_ms =
         estimated_first_token_overhead_ms(load) +
         overhead_ewma_weight *
@@ -234,9 +246,10 @@
   if (prefill_ms <= 1) {  // ms; no usable sample
     return std::nullopt;
   }
-  const double sample = std::clamp(added.pending_prefill_tokens_at_send / prefill_ms,
-                                   min_prefill_tokens_per_ms, max_prefill_tokens_per_ms);
-  const double previous = estimated_prefill_tokens_per_ms(table, load);
+  const double sample = std::clamp(
+      added.pending_prefill_tokens_at_send / prefill_ms * estimated_slowdown(load.speed, now),
+      min_prefill_tokens_per_ms, max_prefill_tokens_per_ms);
+  const double previous = usual_prefill_tokens_per_ms(table, load);
   // One sample counts as at most a threefold change of the rate.
   const double bounded_sample = std::clamp(sample, previous / 3, previous * 3);
   load.prefill_tokens_per_ms = previous + prefill_rate_ewma_weight * (bounded_sample - previous);
@@ -249,14 +262,16 @@
   return std::nullopt;
 }
 
-void record_event_gap(load_table& table, const target_name& target, duration gap, int tokens) {
+void record_event_gap(load_table& table, const target_name& target, duration gap, int tokens,
+                      instant now) {
   auto found = table.targets.find(target);
   if (found == table.targets.end()) {
     return;
   }
   target_load& load = found->second;
-  const double sample = std::min(max_output_token_ms, to_ms(gap) / std::max(1, tokens));
-  const double previous = estimated_output_token_ms(table, load);
+  const double sample = std::min(max_output_token_ms, to_ms(gap) / std::max(1, tokens)) /
+                        estimated_slowdown(load.speed, now);
+  const double previous = usual_output_token_ms(table, load);
   load.output_token_ms = previous + output_token_ewma_weight * (sample - previous);
   table.mean_output_token_ms =
       table.mean_output_token_ms <= 0
@@ -280,9 +295,9 @@
   load.kv_used_tokens = std::max(0.0, load.kv_used_tokens - added.kv_used_tokens);
 }
 
-void record_service_time(load_table& table, const target_name& target, duration time) {
+void record_service_time(load_table& table, const target_name& target, duration time, instant now) {
   target_load& load = table.targets[target];
-  const double sample = to_ms(time);
+  const double sample = to_ms(time) / estimated_slowdown(load.speed, now);
   load.service_ms = load.service_ms <= 0
                         ? sample
                         : load.service_ms + service_time_ewma_weight * (sample - load.service_ms);
--- a/core/routing/target_loads.h
+++ b/core/routing/target_loads.h
@@ -28,6 +28,7 @@
 
 #include "core/base/types.h"
 #include "core/calls/call.h"
+#include "core/routing/target_speed.h"
 
 namespace peridot {
 
@@ -93,7 +94,8 @@
   instant link_free_at{};                 // when this router's transfers from or to it are done
   prefill_report next_prefill_report;     // sent in the next gossip cycle; collected in this one
   prefill_report current_prefill_report;  // sent in this cycle; collected in the one before
-  // Moving averages; 0: not measured yet.
+  target_speed speed;
+  // Moving averages at slowdown 1; 0: not measured yet.
   double prefill_tokens_per_ms = 0;
   double first_token_overhead_ms = 0;  // time to the first token beyond prefill
   double output_token_ms = 0;          // between two tokens of a stream
@@ -120,8 +122,10 @@
 double total_pending_prefill_tokens(const target_load& load);
 double total_kv_used_tokens(const target_load& load);
 
-// The engine's measured rate; while there is none, the mean of all engines or the default.
-double estimated_prefill_tokens_per_ms(const load_table& table, const target_load& load);
+// The engine's rate by its speed: measured or, while it is not, the mean of all engines or the
+// default.
+double estimated_prefill_tokens_per_ms(const load_table& table, const target_load& load,
+                                       instant now);
 
 // A prefix that was last used more than this number of tokens ago, by the clock
 // `prefilled_tokens`, counts as evicted.
@@ -136,9 +140,9 @@
                                double kv_capacity_tokens);
 
 // What one router measured of an engine or, until it has, of all engines, or a default.
-double estimated_output_token_ms(const load_table& table, const target_load& load);
+double estimated_output_token_ms(const load_table& table, const target_load& load, instant now);
 double estimated_first_token_overhead_ms(const target_load& load);
-double estimated_service_ms(const target_load& load);  // of a plain target
+double estimated_service_ms(const target_load& load, instant now);  // of a plain target
 
 // The load of the target; an empty one if nothing is known of it.
 const target_load& load_or_empty(const load_table& table, const target_name& name);
@@ -152,12 +156,13 @@
 std::optional<bool> record_first_token(load_table& table, const target_name& target,
                                        call_load& added, instant now);
 // Records the time from one event of a stream to the next, which holds `tokens` tokens.
-void record_event_gap(load_table& table, const target_name& target, duration gap, int tokens);
+void record_event_gap(load_table& table, const target_name& target, duration gap, int tokens,
+                      instant now);
 // Removes a call from its target's load.
 void record_call_ended(load_table& table, const target_name& target, call_load& added);
 
 // Records the duration of a whole call at a plain target.
-void record_service_time(load_table& table, const target_name& target, duration time);
+void record_service_time(load_table& table, const target_name& target, duration time, instant now);
 
 // To be called when a gossip cycle starts: what the last cycle collected becomes the
 // report that each peer gets once during this cycle.
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -150,7 +150,7 @@
     record_duration(call.router->call_metrics.between_chunks, now - call.last_progress_at);
     const pool* target_pool = find_pool(*call.config, call.current_attempt->pool);
     record_event_gap(call.router->loads, call.current_attempt->target, now - call.last_progress_at,
-                     target_pool == nullptr ? 1 : target_pool->tokens_per_event);
+                     target_pool == nullptr ? 1 : target_pool->tokens_per_event, now);
   }
   send_response_data(*call.exchange, event);
   ++call.events_forwarded;
@@ -199,6 +199,16 @@
              "Target names a limit that cannot be read. target=" + attempt.target.value);
   }
   const target_entry& entry = target->second.entry;
+  if (statements.load.has_value()) {
+    record_slowdown(router.loads.targets[attempt.target].speed, statements.load->slowdown, now);
+    log_call_line(log_part::target, log_level::info, [&]() {
+      return "Load of a target. target=" + entry.name.value +
+             " running=" + std::to_string(statements.load->running) +
+             " waiting=" + std::to_string(statements.load->waiting) +
+             " slots=" + std::to_string(statements.load->slots) +
+             " slowdown=" + decimal_text(statements.load->slowdown);
+    });
+  }
   const statement_changes changes =
       record_statements(router.statements, entry, statements, attempt.sent_at, now);
   if (changes.limit) {
@@ -294,7 +304,8 @@
   const int status = current.response_head.status;
   record_first_token_of(call, current_time());
   if (!call.request.call_prompt.has_value() && status < min_server_error_status) {
-    record_service_time(call.router->loads, current.target, current_time() - current.sent_at);
+    const instant now = current_time();
+    record_service_time(call.router->loads, current.target, now - current.sent_at, now);
   }
   if (status < min_server_error_status) {
     record_completed_call(call);
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -130,7 +130,7 @@
          .transfer_ms_per_token = kv_transfer_ms_per_token(target_pool),
          .now = now});
   }
-  return choose_plain_target(loads, candidates, stable_hash(call.request.id));
+  return choose_plain_target(loads, candidates, stable_hash(call.request.id), now);
 }
 
 // Returns the targets to choose from. For a retryable call, if an avoided target is due for a
--- a/router/control_pages.cc
+++ b/router/control_pages.cc
@@ -113,8 +113,9 @@
          std::to_string(
              has_load ? static_cast<std::int64_t>(total_pending_prefill_tokens(load->second)) : 0) +
          " read_rate=" +
-         std::to_string(has_load ? estimated_prefill_tokens_per_ms(router.loads, load->second)
-                                 : 0) +
+         std::to_string(
+             has_load ? estimated_prefill_tokens_per_ms(router.loads, load->second, current_time())
+                      : 0) +
          " revision=" + to_text(target.entry.revision) + "\n";
 }
 
--- a/router/peer_digest.cc
+++ b/router/peer_digest.cc
@@ -70,7 +70,8 @@
   }
 }
 
-void add_target_sums(const router_state& router, bool of_domain, wire::digest& digest) {
+void add_target_sums(const router_state& router, bool of_domain, instant now,
+                     wire::digest& digest) {
   for (const std::pair<const target_name, target_load>& entry : router.loads.targets) {
     const peer_load sum = load_sum(entry.second, of_domain);
     wire::target_use usage;
@@ -79,7 +80,9 @@
     if (!of_domain) {
       add_prefill_fields(router.digests.foreign_prefills, hash, usage);
     }
-    if (sum.running_calls <= 0 && usage.tokens_read() == 0 && usage.read_prefixes_size() == 0) {
+    add_speed(entry.second.speed, now, usage);
+    if (sum.running_calls <= 0 && usage.tokens_read() == 0 && usage.read_prefixes_size() == 0 &&
+        usage.slow_percent() == 0) {
       continue;
     }
     usage.set_target(hash);
@@ -197,7 +200,7 @@
 
 void add_loads(const router_state& router, instant now, wire::digest& digest) {
   digest.set_has_loads(true);
-  add_target_sums(router, digest.of_domain(), digest);
+  add_target_sums(router, digest.of_domain(), now, digest);
   add_organisation_sums(router, digest.of_domain(), digest);
   add_included_reports(router, now, digest);
   add_crash_reports(router, true, now, digest);
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t max_reported_organisations = 256;
 // Connections to former delegates are closed after this time.
 constexpr milliseconds max_peer_idle{10'000};
+// Older statements of a target's speed say little of now; others have heard newer ones.
+constexpr milliseconds max_reported_speed_age{1'000};
 
 std::set<router_address> known_peers(const membership_table& membership) {
   std::set<router_address> result;
@@ -29,14 +31,15 @@
   return result;
 }
 
-void add_target_loads(const router_state& router, wire::gossip& gossip) {
+void add_target_loads(const router_state& router, instant now, wire::gossip& gossip) {
   for (const std::pair<const target_name, target_load>& entry : router.loads.targets) {
     const target_load& load = entry.second;
+    wire::target_use usage;
+    add_speed(load.speed, now, usage);
     if (load.running_calls == 0 && load.current_prefill_report.tokens < 1 &&
-        load.current_prefill_report.prefixes.empty()) {
+        load.current_prefill_report.prefixes.empty() && usage.slow_percent() == 0) {
       continue;
     }
-    wire::target_use& usage = *gossip.add_targets();
     usage.set_target(target_hash(entry.first));
     usage.set_running(static_cast<std::uint32_t>(load.running_calls));
     usage.set_unread_tokens(to_whole_tokens(load.pending_prefill_tokens));
@@ -45,6 +48,7 @@
     for (std::uint32_t prefix : load.current_prefill_report.prefixes) {
       usage.add_read_prefixes(prefix);
     }
+    *gossip.add_targets() = std::move(usage);
   }
 }
 
@@ -162,7 +166,7 @@
   }
   wire::peer_message message = make_report(router);
   wire::gossip& gossip = *message.mutable_gossip();
-  add_target_loads(router, gossip);
+  add_target_loads(router, now, gossip);
   add_organisation_usage(router, gossip);
   add_crash_reports(router, false, now, gossip);
   add_statements(router, limits_of_round(router, limit_selection::all), now, gossip);
@@ -186,7 +190,7 @@
   send_to_peers(*router.peer_mesh, plan.silent, make_report(router));
   wire::peer_message message = make_report(router);
   wire::gossip& gossip = *message.mutable_gossip();
-  add_target_loads(router, gossip);
+  add_target_loads(router, now, gossip);
   add_organisation_usage(router, gossip);
   add_crash_reports(router, false, now, gossip);
   add_statements(router, limits_of_round(router, limit_selection::heard), now, gossip);
@@ -229,6 +233,13 @@
   return static_cast<std::uint32_t>(std::max(0.0, to_ms(now - at)));
 }
 
+void add_speed(const target_speed& speed, instant now, wire::target_use& usage) {
+  if (speed.stated_at != instant{} && now - speed.stated_at < max_reported_speed_age) {
+    usage.set_slow_percent(static_cast<std::uint32_t>(std::lround(100 * speed.latest)));
+    usage.set_slow_age_ms(age_ms(speed.stated_at, now));
+  }
+}
+
 std::uint32_t to_whole_tokens(double tokens) {
   return static_cast<std::uint32_t>(std::max(0.0, tokens));
 }
@@ -366,6 +377,10 @@
                          static_cast<double>(entry.memory_tokens()), reported.valid_until};
     update_peer_load(router.loads, row, found->second, load, prefixes, entry.tokens_read());
     reported.targets.push_back(found->second);
+    if (entry.slow_percent() > 0) {
+      record_slowdown(router.loads.targets[found->second].speed, entry.slow_percent() / 100.0,
+                      now - milliseconds{entry.slow_age_ms()});
+    }
   }
   complete_peer_report(router.loads, row, std::move(reported));
   update_peer_usage(router.shares, row, std::move(usage), now + router.membership.report_ttl);
--- a/router/peer_internal.h
+++ b/router/peer_internal.h
@@ -41,6 +41,9 @@
 // peer has joined.
 limit_selection limits_of_round(const router_state& router, limit_selection full);
 
+// Adds what the target said last of its speed, unless that is too old.
+void add_speed(const target_speed& speed, instant now, wire::target_use& usage);
+
 // Stores the load and the usage that a message reports as those of `row`, in place of earlier ones.
 void apply_load_row(router_state& router, const router_address& row,
                     const std::vector<wire::target_use>& targets,
