Decide when calls leave their failure domain, and how many

Engines were chosen without regard to failure domains, plain targets by a fixed bonus for the own one: two of three calls crossed domains whether that paid or not, and nothing said how many should leave a domain whose demand peaks.

core/routing/domain_spillover: a crossing has a price (way and bytes, settings crossing_call_ms and crossing_kilobyte_ms), and a share of the calls goes by it, proportional to the difference of waits and their trend, damped by the age of the sums.

--- a/core/routing/placement.cc
+++ b/core/routing/placement.cc
@@ -43,6 +43,17 @@
   int running_calls = 0;
 };
 
+// Of an engine whose slots are nearly or all in use.
+double slot_cost(double slot_usage) {
+  if (slot_usage >= 1) {
+    return no_free_slot_cost_ms;
+  }
+  return slot_usage > high_load_slot_fraction
+             ? high_load_cost_ms * (slot_usage - high_load_slot_fraction) /
+                   (1 - high_load_slot_fraction)
+             : 0;
+}
+
 double engine_cost(const candidate& engine, const engine_cost_input& input) {
   const double slot_usage = static_cast<double>(input.running_calls) / std::max(1, engine.slots);
   double cost =
@@ -53,12 +64,7 @@
       deadline_overrun_weight *
           std::max(0.0, input.first_token_ms + input.output_ms * output_length_margin -
                             input.time_left_ms);
-  if (slot_usage >= 1) {
-    cost += no_free_slot_cost_ms;
-  } else if (slot_usage > high_load_slot_fraction) {
-    cost +=
-        high_load_cost_ms * (slot_usage - high_load_slot_fraction) / (1 - high_load_slot_fraction);
-  }
+  cost += slot_cost(slot_usage);
   return cost;
 }
 
@@ -79,6 +85,11 @@
              : 0;
 }
 
+double crossing_ms(const candidate& target, const crossing_cost& crossing, bool follows_cache) {
+  const bool is_free = follows_cache || target.domain == crossing.free_domain;
+  return crossing.price_ms + (is_free ? 0 : crossing.reluctance_ms);
+}
+
 struct candidate_state {
   const target_load* load = nullptr;
   double cached_tokens = 0;
@@ -157,6 +168,10 @@
                                           estimated_output_token_ms(table, load, call.now),
                              .time_left_ms = to_ms(call.time_left),
                              .running_calls = choice.running_calls});
+    if (!engine.same_domain) {
+      const bool follows_cache = prefers_cached || index == rendezvous_index;
+      cost += crossing_ms(engine, call.crossing, follows_cache);
+    }
     if (call.earliest_first_token) {
       cost = choice.first_token_ms;
     } else if (index == rendezvous_index) {
@@ -172,7 +187,8 @@
 }
 
 placement choose_plain_target(const load_table& table, const std::vector<candidate>& candidates,
-                              std::uint64_t tie_breaker, instant now) {
+                              const crossing_cost& crossing, std::uint64_t tie_breaker,
+                              instant now) {
   placement best;
   double best_cost = 0;
   for (const candidate& target : candidates) {
@@ -181,16 +197,18 @@
     choice.chosen = &target;
     choice.running_calls = total_running_calls(load);
     const double slots = std::max(1, target.slots);
-    const double service_ms = estimated_service_ms(load, now);
-    choice.first_token_ms =
-        std::max(0.0, static_cast<double>(choice.running_calls) + 1 - slots) / slots * service_ms;
+    choice.first_token_ms = plain_wait_ms(load, target.slots, now);
     const double slot_usage = static_cast<double>(choice.running_calls) / slots;
-    // Below 0.1, the preference for the failure domain. In units of slot usage, as the cost.
+    // In units of slot usage, as the cost.
     const double tie_break_cost =
         static_cast<double>(stable_hash(target.name.value, tie_breaker) % 1'000) / 10'000;
     // The time that the call takes there, in times of slowdown 1 without other calls.
     const double relative_time = (1 + slot_usage) * estimated_slowdown(load.speed, now);
-    const double cost = relative_time + tie_break_cost - (target.same_domain ? 0.1 : 0);
+    const double crossing_time = target.same_domain ? 0
+                                                    : crossing_ms(target, crossing, false) /
+                                                          estimated_service_ms(load, now) *
+                                                          estimated_slowdown(load.speed, now);
+    const double cost = relative_time + tie_break_cost + crossing_time;
     if (best.chosen == nullptr || cost < best_cost) {
       best = choice;
       best_cost = cost;
@@ -199,4 +217,18 @@
   return best;
 }
 
+double engine_wait_ms(const load_table& table, const target_load& load, int slots, instant now) {
+  const double slot_usage =
+      static_cast<double>(total_running_calls(load)) / static_cast<double>(std::max(1, slots));
+  return estimated_first_token_overhead_ms(load) - min_first_token_overhead_ms +
+         total_pending_prefill_tokens(load) / estimated_prefill_tokens_per_ms(table, load, now) +
+         slot_cost(slot_usage);
+}
+
+double plain_wait_ms(const target_load& load, int slots, instant now) {
+  const double slot_count = std::max(1, slots);
+  return std::max(0.0, static_cast<double>(total_running_calls(load)) + 1 - slot_count) /
+         slot_count * estimated_service_ms(load, now);
+}
+
 }  // namespace peridot
--- a/core/routing/placement.h
+++ b/core/routing/placement.h
@@ -37,6 +37,7 @@
 
 #include "core/base/types.h"
 #include "core/calls/call.h"
+#include "core/routing/domain_spillover.h"
 #include "core/routing/target_loads.h"
 
 namespace peridot {
@@ -49,8 +50,8 @@
   target_name name;
   int slots = 1;
   bool same_domain = false;  // in this router's failure domain
-  std::uint32_t domain = 0;  // identifies its failure domain
-  std::uint32_t build = 0;   // build_of() the target
+  failure_domain_id domain = 0;
+  std::uint32_t build = 0;  // build_of() the target
 };
 
 struct placement {
@@ -65,6 +66,14 @@
   int running_calls = 0;              // likewise
 };
 
+// What a target in another failure domain costs a call; see domain_spillover.h.
+struct crossing_cost {
+  double price_ms = 0;
+  // On top, unless the target is in `free_domain` or has the prompt's shared prefix cached.
+  double reluctance_ms = 0;
+  failure_domain_id free_domain = 0;
+};
+
 // The properties of a call that choose_engine() depends on.
 struct engine_call {
   const prompt* call_prompt = nullptr;  // never null
@@ -77,6 +86,7 @@
   double sample_fraction = 1;
   std::uint64_t sample_seed = 0;
   double transfer_ms_per_token = 0;  // between KV caches of two engines; 0: they cannot
+  crossing_cost crossing;
   instant now{};
 };
 
@@ -88,10 +98,16 @@
                         const engine_call& call);
 
 // For plain targets, which process no prompts: the one where the call takes least time by running
-// calls per slot and the target's speed, with a small preference for this router's failure domain.
+// calls per slot and the target's speed, and what a target of another failure domain costs.
 // `first_token_ms` is the predicted wait for a slot. `tie_breaker` varies the choice among targets
 // of similar load.
 placement choose_plain_target(const load_table& table, const std::vector<candidate>& candidates,
-                              std::uint64_t tie_breaker, instant now);
+                              const crossing_cost& crossing, std::uint64_t tie_breaker,
+                              instant now);
+
+// How long a call without a cached prompt waits at the target until it makes progress, by its load:
+// at an engine for the prefills before its own, at a plain target for a slot.
+double engine_wait_ms(const load_table& table, const target_load& load, int slots, instant now);
+double plain_wait_ms(const target_load& load, int slots, instant now);
 
 }  // namespace peridot
--- a/core/routing/routing.h
+++ b/core/routing/routing.h
@@ -9,6 +9,7 @@
 //   fair_share.h          has its organisation reached its share of the engines' tokens?
 //   target_speed.h        how fast a target works, by its own word
 //   target_loads.h        what each target is doing, and what was measured of it
+//   domain_spillover.h    when calls leave their failure domain, and how many
 //   prefix_fetch.h        prompt parts that one engine fetches from another
 //   placement.h           the target of lowest expected cost, and the wait there
 //   admission.h           admitted, or refused on arrival with a retry delay
@@ -29,6 +30,7 @@
 
 #include "core/routing/admission.h"
 #include "core/routing/crash_suspects.h"
+#include "core/routing/domain_spillover.h"
 #include "core/routing/fair_share.h"
 #include "core/routing/fleet_rate_limiter.h"
 #include "core/routing/overload.h"
--- a/core/settings/settings.cc
+++ b/core/settings/settings.cc
@@ -14,6 +14,7 @@
 constexpr value_range<milliseconds> gossip_interval_range{milliseconds{20}, milliseconds{10'000}};
 constexpr value_range<double> ratio_range{0, 100};
 constexpr value_range<double> slack_range{0, 1e6};
+constexpr value_range<double> crossing_range{0, 10'000};
 constexpr value_range<std::int64_t> connections_range{1, 1'000'000};
 constexpr value_range<std::int64_t> body_bytes_range{1 << 16, 1LL << 34};
 constexpr value_range<std::int64_t> buffer_bytes_range{1'024, 64 << 20};
@@ -43,6 +44,8 @@
   read_number(reader, "retry_slack", slack_range, settings.retry_slack);
   read_number(reader, "cold_over", ratio_range, settings.cold_over);
   read_number(reader, "cold_slack", slack_range, settings.cold_slack);
+  read_number(reader, "crossing_call_ms", crossing_range, settings.crossing_call_ms);
+  read_number(reader, "crossing_kilobyte_ms", crossing_range, settings.crossing_kilobyte_ms);
   read_integer(reader, "max_connections", presence::optional, connections_range,
                settings.max_connections);
   read_integer(reader, "max_body_total", presence::optional, body_bytes_range,
--- a/core/settings/settings.h
+++ b/core/settings/settings.h
@@ -46,6 +46,9 @@
   double retry_slack = 58;     // plus this many, over all routers
   double cold_over = 1.5;      // limit on calls to a cold target: cold_rate of its pool times this
   double cold_slack = 5;       // plus this many in any second, over all routers
+  // What calls between failure domains cost; see core/routing/domain_spillover.h.
+  double crossing_call_ms = 2;
+  double crossing_kilobyte_ms = 1;
   std::size_t max_connections = 3'000;         // callers' connections
   std::size_t max_body_total = 24 << 20;       // bytes of buffered request bodies, over all calls
   std::size_t stream_buffer_bytes = 64 << 10;  // per slow caller; then back pressure
--- a/net/metrics.h
+++ b/net/metrics.h
@@ -58,6 +58,7 @@
   // By name. Bounded by the number of organisations in all configurations of the process's life.
   std::map<std::string, organisation_counters> organisations;
   std::uint64_t retries = 0;
+  std::uint64_t sends_to_other_domains = 0;
   std::uint64_t fetches = 0;            // of prompt parts by engines, followed by a first token
   std::uint64_t fetches_not_found = 0;  // the source did not have the part any more
   double fetched_tokens = 0;
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -492,6 +492,9 @@
   call.attempted_targets.push_back(target.entry.name);
   ++call.sends;
   ++call.started_attempts;
+  if (target.entry.domain != router.settings.domain) {
+    ++router.call_metrics.sends_to_other_domains;
+  }
   const prompt* call_prompt = prompt_of(call);
   log_call_line(log_part::http, log_level::info, [&]() {
     return "Call sent. call=" + call.request.id + " target=" + target.entry.name.value +
@@ -512,6 +515,8 @@
            " share_position=" + decimal_text(call.share_position) +
            " level_position=" + decimal_text(call.level_position) +
            " view_age_ms=" + ms_text(fleet_view_age(router, now)) +
+           " crosses_domain=" + (target.entry.domain == router.settings.domain ? "0" : "1") +
+           " may_leave=" + (call.spillover_to != 0 ? "1" : "0") +
            " target_revision=" + to_text(target.entry.revision) + " build=" + target.entry.build +
            " resumes=" + (call.request.resumes.empty() ? "-" : call.request.resumes) +
            " config=" + std::to_string(call.config->version);
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -107,16 +107,16 @@
     const bool avoided = is_avoided(router.health, entry.first, now);
     (avoided ? result.avoided : result.healthy)
         .push_back({entry.first, target.entry.slots, target.entry.domain == router.settings.domain,
-                    static_cast<std::uint32_t>(stable_hash(target.entry.domain.value)),
-                    build_of(target.entry)});
+                    domain_id(target.entry.domain), build_of(target.entry)});
   }
   return result;
 }
 
-placement choose_target(const active_call& call, const pool& target_pool,
+placement choose_target(active_call& call, const pool& target_pool,
                         const std::vector<candidate>& candidates, bool earliest_first_token) {
   const load_table& loads = call.router->loads;
   const instant now = current_time();
+  const crossing_cost crossing = crossing_cost_of(call, target_pool);
   if (target_pool.has_engines && call.request.call_prompt.has_value()) {
     return choose_engine(
         loads, candidates,
@@ -128,9 +128,10 @@
          .sample_fraction = engine_sample_fraction(call.router->membership.rounds_per_cycle),
          .sample_seed = stable_hash(call.request.id),
          .transfer_ms_per_token = kv_transfer_ms_per_token(target_pool),
+         .crossing = crossing,
          .now = now});
   }
-  return choose_plain_target(loads, candidates, stable_hash(call.request.id), now);
+  return choose_plain_target(loads, candidates, crossing, stable_hash(call.request.id), now);
 }
 
 // Returns the targets to choose from. For a retryable call, if an avoided target is due for a
--- a/router/control_pages.cc
+++ b/router/control_pages.cc
@@ -57,6 +57,8 @@
        to_double(router.store.rejected_documents), true},
       {"peridot_retries_denied_total", "Further sends that the budget did not allow.",
        to_double(router.call_metrics.retries_denied), true},
+      {"peridot_sends_to_other_domains_total", "Calls sent to targets of other failure domains.",
+       to_double(router.call_metrics.sends_to_other_domains), true},
       {"peridot_fetches_total", "Prompt parts that engines fetched from others.",
        to_double(router.call_metrics.fetches), true},
       {"peridot_fetches_not_found_total", "Of these, not found at the source.",
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -405,6 +405,7 @@
   } else {
     send_direct_round(router, now);
   }
+  update_spillovers(router, now);
   router.newcomer_heard = false;
 }
 
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -88,6 +88,8 @@
   int events_forwarded = 0;
   // The newest event that the caller has carries no id: a second run could not continue after it.
   bool newest_event_has_no_id = false;
+  // The other failure domain that it may go to as soon as that pays, or 0.
+  failure_domain_id spillover_to = 0;
   // Predicted time to the first token (plain targets: wait for a slot) at the target chosen last.
   double predicted_ms = 0;
   // Served tokens of its organisation over its fair share, when an engine was chosen.
@@ -107,6 +109,8 @@
 struct pool_state {
   retry_budget budget;
   double failure_rate = 0;  // over all targets of the pool, moving average
+  spillover_state spillover;
+  double logged_share = 0;  // the share that was logged last
 };
 
 // Prefills that the next digest passes on, by hash of the target.
@@ -257,6 +261,13 @@
 void on_peer_message(router_state& router, const router_identity& from,
                      const wire::peer_message& message);
 
+// call_domains.cc
+// Updates the share of the calls to each pool that leave the failure domain. To be called once a
+// round.
+void update_spillovers(router_state& router, instant now);
+// What a target in another failure domain costs the call.
+crossing_cost crossing_cost_of(active_call& call, const pool& target_pool);
+
 // peer_items.cc
 // Passes changes of the store's items on to the routers that rely on this one.
 void pass_on_items(router_state& router);
