--- a/core/testing/placement_test.cc
+++ b/core/testing/placement_test.cc
@@ -42,7 +42,7 @@
 
 placement choose_and_send(load_table& table, const std::vector<candidate>& candidates,
                           const prompt& call_prompt, instant now, call_load& added) {
-  const placement choice = choose_engine(table, candidates, make_engine_call(call_prompt));
+  placement choice = choose_engine(table, candidates, make_engine_call(call_prompt));
   added = record_call_sent(table, choice.chosen->name, &call_prompt, kv_capacity_tokens, now);
   return choice;
 }
--- a/standins/peridot_load_main.cc
+++ b/standins/peridot_load_main.cc
@@ -21,6 +21,7 @@
           "Caller addresses (IP:PORT) of the routers, comma-separated.");
 ABSL_FLAG(int, seconds, 10, "Time in seconds during which new calls are sent.");
 ABSL_FLAG(int, per_second, 60, "New calls per second, 1 to 1000.");
+ABSL_FLAG(int, shared_tokens, 400, "Tokens of the prompt part that all streams share.");
 ABSL_FLAG(bool, resume, false, "Take streams that break off up again, at another router.");
 
 namespace {
@@ -199,9 +200,12 @@
                      {"Api-Key", state.random() % 2 == 0 ? "key-1" : "key-2"}};
   if (call->kind == 0) {
     request.headers.push_back({"X-Peridotspur-Model", "m"});
-    request.headers.push_back({"X-Peridotspur-Token-Counts", "600,40"});
-    request.headers.push_back({"X-Peridotspur-Prompt-Prefix",
-                               "a1:400," + std::to_string(state.random() % 1'000) + ":200"});
+    const int shared_tokens = absl::GetFlag(FLAGS_shared_tokens);
+    request.headers.push_back(
+        {"X-Peridotspur-Token-Counts", std::to_string(shared_tokens + 200) + ",40"});
+    request.headers.push_back(
+        {"X-Peridotspur-Prompt-Prefix", "a1:" + std::to_string(shared_tokens) + "," +
+                                            std::to_string(state.random() % 1'000) + ":200"});
     request.body = "{\"prompt\":\"x\"}";
     if (!call->resumes.empty()) {
       request.headers.push_back({"Resumes", call->resumes});
--- a/standins/platform_standin.cc
+++ b/standins/platform_standin.cc
@@ -12,6 +12,7 @@
 using json = nlohmann::json;
 
 constexpr double prefill_tokens_per_ms = 50;  // of each engine
+constexpr double fetch_tokens_per_ms = 500;
 constexpr int tokens_per_event = 4;
 constexpr milliseconds event_interval{10};
 constexpr int cut_event = 3;     // in which target_mode::cut_stream ends a stream
@@ -265,6 +266,12 @@
     const milliseconds after{std::atoll(query_value(request_target, "after_ms").c_str())};
     send_response(*exchange, 200, {}, arrivals_text(platform, window, after));
     return;
+  } else if (path == "/admin/fetches") {
+    send_response(*exchange, 200, {},
+                  "fetches=" + std::to_string(platform.fetches) +
+                      "\nfound=" + std::to_string(platform.fetches_found) + "\nprefilled=" +
+                      std::to_string(static_cast<std::int64_t>(platform.prefilled_tokens)) + "\n");
+    return;
   } else if (path == "/admin/crash") {
     platform.crashing_part = query_value(request_target, "part");
   } else if (path == "/admin/crashes") {
@@ -394,6 +401,76 @@
   send_response(*response->exchange, 200, response->headers, "{\"done\":true}\n");
 }
 
+// A prefix of a prompt that other prompts may share.
+struct shared_prefix {
+  std::string segments;  // as the header lists them
+  double tokens = 0;
+};
+
+// The shared prefixes that a call names, shortest first: without its own last segment.
+std::vector<shared_prefix> shared_prefixes(const http_exchange& exchange) {
+  const std::string_view list = find_header(exchange.head.headers, "X-Peridotspur-Prompt-Prefix");
+  std::vector<shared_prefix> result;
+  double tokens = 0;
+  std::size_t begin = 0;
+  for (std::size_t comma = list.find(','); comma != std::string_view::npos;
+       comma = list.find(',', begin)) {
+    const std::string segment(list.substr(begin, comma - begin));
+    tokens += std::atof(segment.c_str() + segment.find(':') + 1);
+    result.push_back({std::string(list.substr(0, comma)), tokens});
+    begin = comma + 1;
+  }
+  return result;
+}
+
+// Tokens of the longest of the prefixes that the target keeps now.
+double kept_tokens(const target_standin& target, const std::vector<shared_prefix>& prefixes,
+                   instant now) {
+  double tokens = 0;
+  for (const shared_prefix& prefix : prefixes) {
+    auto kept = target.kept_prefixes.find(prefix.segments);
+    if (kept != target.kept_prefixes.end() && kept->second <= now) {
+      tokens = prefix.tokens;
+    }
+  }
+  return tokens;
+}
+
+// What the engine named by the call keeps of the prompt beyond the target.
+double fetched_tokens(const target_standin& target, const http_exchange& exchange,
+                      const std::vector<shared_prefix>& prefixes, double kept, instant now) {
+  const std::string_view source_address = find_header(exchange.head.headers, "Kv-Fetch");
+  if (source_address.empty()) {
+    return 0;
+  }
+  platform_standin& platform = *target.platform;
+  ++platform.fetches;
+  for (const std::unique_ptr<target_standin>& source : platform.targets) {
+    if (source->address == source_address && source->is_engine) {
+      const double tokens = std::max(0.0, kept_tokens(*source, prefixes, now) - kept);
+      platform.fetches_found += tokens > 0 ? 1 : 0;
+      return tokens;
+    }
+  }
+  return 0;
+}
+
+// Prefills or fetches what the target does not keep of the prompt, after the prefills before it.
+void prefill_prompt(target_standin& target, const http_exchange& exchange, double prompt_tokens,
+                    instant now) {
+  const std::vector<shared_prefix> prefixes = shared_prefixes(exchange);
+  const double kept = kept_tokens(target, prefixes, now);
+  const double fetched = fetched_tokens(target, exchange, prefixes, kept, now);
+  const double prefilled = std::max(0.0, prompt_tokens - kept - fetched);
+  target.platform->prefilled_tokens += prefilled;
+  target.prefill_busy_until =
+      std::max(target.prefill_busy_until, now + from_ms(fetched / fetch_tokens_per_ms)) +
+      from_ms(prefilled / prefill_tokens_per_ms);
+  for (const shared_prefix& prefix : prefixes) {
+    target.kept_prefixes.try_emplace(prefix.segments, target.prefill_busy_until);
+  }
+}
+
 void start_stream(target_standin& target, const std::shared_ptr<http_exchange>& exchange,
                   std::vector<http_header> headers) {
   headers.push_back({"Content-Type", "text/event-stream"});
@@ -404,8 +481,7 @@
       comma == std::string::npos ? 8 : std::atoi(token_counts.c_str() + comma + 1);
   const std::string last_event_id(find_header(exchange->head.headers, "Last-Event-Id"));
   const instant now = std::chrono::steady_clock::now();
-  target.prefill_busy_until =
-      std::max(target.prefill_busy_until, now) + from_ms(prompt_tokens / prefill_tokens_per_ms);
+  prefill_prompt(target, *exchange, prompt_tokens, now);
   event_stream_response* stream = new event_stream_response{};
   stream->target = &target;
   stream->exchange = exchange;
@@ -478,6 +554,7 @@
   platform_standin& platform = *target.platform;
   target.id = "i-" + std::to_string(++platform.starts);
   target.prefill_busy_until = instant{};
+  target.kept_prefixes.clear();
   listener_options target_listener_options;
   target_listener_options.address = target.address;
   BOOST_LEAF_ASSIGN(target.listener,
@@ -523,7 +600,8 @@
 }
 
 std::string sample_config(std::uint64_t version) {
-  const json engine = {{"slots", 64}, {"kv_capacity", 250'000}};
+  const json engine = {
+      {"slots", 64}, {"kv_capacity", 250'000}, {"kv_token_bytes", 20'000}, {"link_mbps", 100'000}};
   const json document = {{"version", version},
                          {"routes",
                           {{{"name", "chat"},
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -23,6 +23,7 @@
 //   POST   /admin/build?id=I&build=B  the target runs build B from now on, and its entry says so
 //   POST   /admin/says?id=I&header=H&value=V  adds a header to all responses of the target; without
 //                              a value: takes it away; id "all": every target
+//   GET    /admin/fetches   "fetches=N", "found=N", "prefilled=TOKENS" of all engines
 //   GET    /admin/arrivals?window_ms=W&after_ms=A  "target=I most=N calls=M" for each target: the
 //                              most calls that arrived within any window, and all of them, since A
 //                              after its headers last changed
@@ -80,7 +81,9 @@
   int streams = 0;           // that it began
   target_mode mode = target_mode::ok;
   std::unique_ptr<http_listener> listener;
-  instant prefill_busy_until{};                     // end of the prefills accepted so far
+  instant prefill_busy_until{};  // end of the prefills accepted so far
+  // Prefixes of prompts that it has prefilled or fetched, as lists of segments, and from when on.
+  std::map<std::string, instant> kept_prefixes;
   std::map<std::string, std::string> said_headers;  // in all responses
   instant headers_changed_at{};
   std::vector<instant> arrivals;  // of calls since the headers changed
@@ -107,7 +110,10 @@
   std::vector<std::unique_ptr<target_standin>> targets;
   std::string crashing_part;  // id of the part; empty: none
   int crashes = 0;
-  int starts = 0;  // of targets
+  int starts = 0;         // of targets
+  int fetches = 0;        // calls that named an engine to fetch from
+  int fetches_found = 0;  // it kept more of the prompt
+  double prefilled_tokens = 0;
   std::map<std::string, int> runs_by_attempt_id;
   std::uint64_t next_stamp = 1;  // of X-Peridotspur-Server-Stamp
 };
