Learn the found fraction of fetches only from those that can be told

A fetch that saves under 50 ms changes no belief now; metrics count fetches, those told, and those not found.

The new test fails by its first check on the code before, which answered in every case.

--- a/core/routing/target_loads.cc
+++ b/core/routing/target_loads.cc
@@ -19,6 +19,8 @@
 constexpr double min_prefill_tokens_per_ms = 3;
 constexpr double max_prefill_tokens_per_ms = 400;
 constexpr double fetch_found_ewma_weight = 0.02;
+// A fetch that saves less is not told from a prefill: first tokens vary by some steps.
+constexpr double min_told_saving_ms = 50;
 constexpr double service_time_ewma_weight = 0.1;
 constexpr double default_service_ms = 60;
 constexpr std::size_t max_tracked_prefixes = 20'000;  // of one engine, about 0.6 MB
@@ -106,14 +108,18 @@
   source->second.link_free_at = free_at;
 }
 
-// Whether the first token came as soon as after a fetch, rather than after another prefill.
-bool record_fetch_end(load_table& table, const target_load& load, const call_load& added,
-                      instant now) {
+// Whether the first token came as soon as after a fetch, rather than after another prefill. Unset
+// if that cannot be told.
+std::optional<bool> record_fetch_end(load_table& table, const target_load& load,
+                                     const call_load& added, instant now) {
   const double elapsed_ms = to_ms(now - added.sent_at);
   const double rate = estimated_prefill_tokens_per_ms(table, load, now);
   const double expected_ms = estimated_first_token_overhead_ms(load) + added.fetch_ms +
                              added.pending_prefill_tokens_at_send / rate;
   const double saved_ms = std::max(0.0, added.fetched_tokens / rate - added.fetch_ms);
+  if (saved_ms < min_told_saving_ms) {
+    return std::nullopt;
+  }
   const bool found = elapsed_ms < expected_ms + saved_ms / 2;
   table.fetch_found_fraction =
       std::max(min_fetch_found_fraction,
--- a/core/routing/target_loads.h
+++ b/core/routing/target_loads.h
@@ -152,7 +152,7 @@
 call_load record_call_sent(load_table& table, const target_name& target, const prompt* call_prompt,
                            double kv_capacity_tokens, instant now, const prefix_fetch& fetch = {});
 // Returns whether the prefix that the call fetched was found at the source, as far as the time to
-// the first token tells; unset for a call without a fetch.
+// the first token tells; unset if it does not.
 std::optional<bool> record_first_token(load_table& table, const target_name& target,
                                        call_load& added, instant now);
 // Records the time from one event of a stream to the next, which holds `tokens` tokens.
--- a/core/testing/prefix_fetch_test.cc
+++ b/core/testing/prefix_fetch_test.cc
@@ -287,3 +287,18 @@
     CHECK(entry.second <= 6);  // of 16, 4 for each if they were even
   }
 }
+
+// Guards against a found fraction that falls by chance: of a fetch of a few hundred tokens, the
+// first token comes no sooner than after a prefill.
+TEST_CASE("a fetch that saves too little to be told changes no belief") {
+  const std::vector<candidate> engines = make_engines(2);
+  load_table table;
+  prefill(table, engines[0], 1);
+  const double fraction = table.fetch_found_fraction;
+  const prompt call_prompt = make_prompt(1);
+  call_load added = record_call_sent(table, engines[1].name, &call_prompt, kv_capacity_tokens,
+                                     start, {engines[0].name, 400, 8, 2});
+  CHECK_FALSE(
+      record_first_token(table, engines[1].name, added, start + milliseconds{2'000}).has_value());
+  CHECK(table.fetch_found_fraction == fraction);
+}
--- a/net/metrics.h
+++ b/net/metrics.h
@@ -59,8 +59,9 @@
   std::map<std::string, organisation_counters> organisations;
   std::uint64_t retries = 0;
   std::uint64_t sends_to_other_domains = 0;
-  std::uint64_t fetches = 0;            // of prompt parts by engines, followed by a first token
-  std::uint64_t fetches_not_found = 0;  // the source did not have the part any more
+  std::uint64_t fetches = 0;            // of prompt parts, by engines
+  std::uint64_t fetches_told = 0;       // whose first token told whether the part was found
+  std::uint64_t fetches_not_found = 0;  // of these, the source did not have it any more
   double fetched_tokens = 0;
   std::uint64_t crash_evidence = 0;  // calls broken off by targets that may have crashed
   std::uint64_t suspects_found = 0;  // what calls that crash targets have in common
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -113,8 +113,7 @@
     return;
   }
   metrics& counts = call.router->call_metrics;
-  ++counts.fetches;
-  counts.fetched_tokens += fetched_tokens;
+  ++counts.fetches_told;
   if (!*found) {
     ++counts.fetches_not_found;
     log_call_line(log_part::http, log_level::info, [&]() {
@@ -433,6 +432,10 @@
   const prompt* call_prompt = prompt_of(call);
   call.current_attempt->added_load = record_call_sent(router.loads, target.entry.name, call_prompt,
                                                       target_pool.kv_capacity_tokens, now, fetch);
+  if (!fetch.source.value.empty()) {
+    ++router.call_metrics.fetches;
+    router.call_metrics.fetched_tokens += call.current_attempt->added_load.fetched_tokens;
+  }
   if (call.sends > 0) {
     return;
   }
