Check a configuration before it is sent: peridotctl config check

Operators could not see before sending what routers would reject, which entries can never match, which limits contradict each other, or what differs from the version in force.

core/fleet/config_check works on the configuration as the routers' own reader (platform/documents) gives it; that reader names line and column where a document is no JSON. Text or JSON, exit status 1 with errors. Keys are counted, never shown. Not checked: homes (not read by routers), fields that the reader ignores, and the line of a finding that is not a syntax error.

--- a/scripts/process_tests/peridotctl.sh
+++ b/scripts/process_tests/peridotctl.sh
@@ -8,6 +8,12 @@
 status=0
 "$BIN/peridotctl" check "$WORK/bad.toml" >"$WORK/bad.txt" || status=$?
 [ "$status" -eq 1 ] && grep -q 'colour' "$WORK/bad.txt" || fail "check does not report the unknown setting: $(cat "$WORK/bad.txt")"
+curl -sf "http://127.0.0.1:19000/v1/kv-range?path_prefix=op/config" | grep -o '"value":"[^"]*"' | cut -d'"' -f4 | base64 -d >"$WORK/config.json"
+"$BIN/peridotctl" config check "$WORK/config.json" || fail "config check finds errors in a sound configuration"
+sed 's/"timeout_ms":5000/"timeout_ms":100/; s/"version":1/"version":2/' "$WORK/config.json" >"$WORK/changed.json"
+status=0
+"$BIN/peridotctl" config check "$WORK/changed.json" --against="$WORK/config.json" >"$WORK/check.txt" || status=$?
+[ "$status" -eq 1 ] && grep -q 'error: route chat: latency objective' "$WORK/check.txt" && grep -q 'changed: route chat: timeout_ms 5000 -> 100' "$WORK/check.txt" || fail "config check: $(cat "$WORK/check.txt")"
 sleep 1
 "$BIN/peridotctl" status 127.0.0.1:18201 127.0.0.1:18202 >"$WORK/status.txt" || fail "the status command failed"
 [ "$(grep -c '^router=' "$WORK/status.txt")" -eq 2 ] || fail "status does not list both routers: $(cat "$WORK/status.txt")"
--- a/tools/peridotctl_main.cc
+++ b/tools/peridotctl_main.cc
@@ -5,20 +5,27 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <nlohmann/json.hpp>
 
 #include "core/base/ip_endpoint.h"
 #include "core/base/log_lines.h"
+#include "core/fleet/config_check.h"
+#include "core/settings/document_file.h"
 #include "core/settings/settings.h"
 #include "net/http_client.h"
+#include "platform/documents.h"
 
 ABSL_FLAG(std::string, call, "", "timeline: only lines about this call.");
 ABSL_FLAG(std::string, target, "", "timeline: only lines about this target.");
 ABSL_FLAG(std::string, domain, "", "timeline: only lines about this failure domain.");
 ABSL_FLAG(std::string, version, "", "timeline: only lines about this configuration version.");
+ABSL_FLAG(std::string, against, "", "config check: file with the version in force.");
+ABSL_FLAG(bool, json, false, "config check: print JSON.");
 
 namespace {
 
@@ -51,6 +58,77 @@
   return all_ok ? 0 : exit_failed;
 }
 
+// A configuration as routers read it; null after a message if they would reject it.
+std::shared_ptr<const peridot::fleet_config> read_config(const std::string& file) {
+  const peridot::file_result read = peridot::read_document_file(file);
+  for (const peridot::document_error& error : read.errors) {
+    std::fprintf(stderr, "%s\n", peridot::to_text(error).c_str());
+  }
+  if (!read.errors.empty()) {
+    return nullptr;
+  }
+  const peridot::platform::config_result decoded = peridot::platform::decode_config(read.text);
+  if (decoded.config == nullptr) {
+    std::fprintf(stderr, "%s: rejected: %s\n", file.c_str(), decoded.problem.c_str());
+  }
+  return decoded.config;
+}
+
+void print_config_check(const std::vector<peridot::config_finding>& findings,
+                        const std::vector<peridot::config_change>& changes) {
+  if (!absl::GetFlag(FLAGS_json)) {
+    for (const peridot::config_finding& finding : findings) {
+      std::printf("%s: %s: %s\n", to_text(finding.severity), finding.subject.c_str(),
+                  finding.text.c_str());
+    }
+    for (const peridot::config_change& change : changes) {
+      std::printf("%s: %s%s%s\n", to_text(change.kind), change.subject.c_str(),
+                  change.text.empty() ? "" : ": ", change.text.c_str());
+    }
+    return;
+  }
+  nlohmann::json document = {{"findings", nlohmann::json::array()},
+                             {"changes", nlohmann::json::array()}};
+  for (const peridot::config_finding& finding : findings) {
+    document["findings"].push_back({{"severity", to_text(finding.severity)},
+                                    {"subject", finding.subject},
+                                    {"text", finding.text}});
+  }
+  for (const peridot::config_change& change : changes) {
+    document["changes"].push_back(
+        {{"kind", to_text(change.kind)}, {"subject", change.subject}, {"text", change.text}});
+  }
+  std::printf("%s\n", document.dump(2).c_str());
+}
+
+int check_config_file(const std::vector<std::string>& arguments) {
+  if (arguments.size() != 2 || arguments[0] != "check") {
+    return usage_error("config: expected check FILE");
+  }
+  const std::shared_ptr<const peridot::fleet_config> config = read_config(arguments[1]);
+  if (config == nullptr) {
+    return exit_failed;
+  }
+  std::vector<peridot::config_finding> findings = peridot::check_config(*config);
+  std::vector<peridot::config_change> changes;
+  const std::string against = absl::GetFlag(FLAGS_against);
+  if (!against.empty()) {
+    const std::shared_ptr<const peridot::fleet_config> in_force = read_config(against);
+    if (in_force == nullptr) {
+      return exit_failed;
+    }
+    const std::vector<peridot::config_finding> version = peridot::check_version(*in_force, *config);
+    findings.insert(findings.end(), version.begin(), version.end());
+    changes = peridot::config_changes(*in_force, *config);
+  }
+  print_config_check(findings, changes);
+  const bool has_error =
+      std::any_of(findings.begin(), findings.end(), [](const peridot::config_finding& finding) {
+        return finding.severity == peridot::finding_severity::error;
+      });
+  return has_error ? exit_failed : 0;
+}
+
 struct page_result {
   int status = 0;
   std::string text;
@@ -157,6 +235,8 @@
   absl::SetProgramUsageMessage(
       "Checks settings, and shows what routers report and log.\n\n"
       "  peridotctl check FILE...        checks settings files\n"
+      "  peridotctl config check FILE [--against=CURRENT] [--json]\n"
+      "                                  checks a configuration before it is sent\n"
       "  peridotctl status ADDRESS...    prints the status of routers; ADDRESS: control address\n"
       "  peridotctl metrics ADDRESS...   prints the metrics of routers\n"
       "  peridotctl timeline [--call=ID] [--target=NAME] [--domain=NAME] [--version=N] [FILE...]\n"
@@ -172,6 +252,9 @@
   if (command == "check") {
     return check_settings(arguments);
   }
+  if (command == "config") {
+    return check_config_file(arguments);
+  }
   if (command == "status" || command == "metrics") {
     return print_pages("/" + command, arguments);
   }
