Draw the share of spillover apart from the choice of the pool

Both took the call's id by the same hash, so that of a route split 90 to 10 the calls to the small pool never were in the share. Found by reading the diff; no test of it failed. Constants named.

--- a/core/fleet/config_and_targets.cc
+++ b/core/fleet/config_and_targets.cc
@@ -76,9 +76,9 @@
     return 0;
   }
   constexpr double bits_per_byte = 8;
-  constexpr double bits_per_mbit_and_s_in_ms = 1'000;  // 1 Mbit/s is 1,000 bits in a millisecond
+  constexpr double bits_per_ms = 1'000;  // of a link of 1 Mbit/s
   return target_pool.kv_bytes_per_token * bits_per_byte /
-         (target_pool.link_mbits_per_second * bits_per_mbit_and_s_in_ms);
+         (target_pool.link_mbits_per_second * bits_per_ms);
 }
 
 const pool* find_pool(const fleet_config& config, const pool_name& name) {
--- a/router/call_domains.cc
+++ b/router/call_domains.cc
@@ -11,10 +11,15 @@
 namespace peridot {
 namespace {
 
+// Of a response: one event, with its framing, and one without a prompt.
+constexpr double bytes_per_event = 70;
+constexpr double plain_response_bytes = 1'000;
 // Of a call whose bytes are not known, as the share is for all calls of a pool.
 constexpr double mean_call_bytes = 3'000;
 // Of a call without a prompt. It takes far less than its latency objective, and leaves for less.
 constexpr milliseconds plain_call_time{60};
+// The share is drawn apart from other choices by the call's id, such as that of its pool.
+constexpr std::uint64_t spillover_seed = 0x5b1f;
 // A share is logged when it has changed by more than this.
 constexpr double logged_share_change = 0.1;
 
@@ -48,13 +53,13 @@
   return sums;
 }
 
-double bytes_of(const active_call& call, const pool& target_pool) {
-  constexpr double bytes_per_event = 70;
+// Of the body and, as far as can be told before, the response.
+double expected_bytes(const active_call& call, const pool& target_pool) {
   const double response_bytes = call.request.call_prompt.has_value()
                                     ? call.request.call_prompt->expected_output_tokens /
                                           std::max(1, target_pool.tokens_per_event) *
                                           bytes_per_event
-                                    : 1'000;
+                                    : plain_response_bytes;
   return static_cast<double>(call.exchange->body.size()) + response_bytes;
 }
 
@@ -100,10 +105,11 @@
   const crossing_prices prices{router.settings.crossing_call_ms,
                                router.settings.crossing_kilobyte_ms};
   const pool_state& state = pool_state_of(router, target_pool.name);
-  call.spillover_to = spillover_domain(state.spillover, stable_hash(call.request.id));
+  call.spillover_to =
+      spillover_domain(state.spillover, stable_hash(call.request.id, spillover_seed));
   const milliseconds objective =
       target_pool.has_engines ? target_pool.min_latency_objective : plain_call_time;
-  return {crossing_cost_ms(prices, bytes_of(call, target_pool)),
+  return {crossing_cost_ms(prices, expected_bytes(call, target_pool)),
           reluctance_fraction * to_ms(objective), call.spillover_to};
 }
 
