--- a/tools/peridotctl_main.cc
+++ b/tools/peridotctl_main.cc
@@ -10,7 +10,6 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
-#include <nlohmann/json.hpp>
 
 #include "core/base/ip_endpoint.h"
 #include "core/base/log_lines.h"
@@ -18,6 +17,7 @@
 #include "core/settings/document_file.h"
 #include "core/settings/settings.h"
 #include "net/http_client.h"
+#include "platform/config_report.h"
 #include "platform/documents.h"
 
 ABSL_FLAG(std::string, call, "", "timeline: only lines about this call.");
@@ -87,18 +87,7 @@
     }
     return;
   }
-  nlohmann::json document = {{"findings", nlohmann::json::array()},
-                             {"changes", nlohmann::json::array()}};
-  for (const peridot::config_finding& finding : findings) {
-    document["findings"].push_back({{"severity", to_text(finding.severity)},
-                                    {"subject", finding.subject},
-                                    {"text", finding.text}});
-  }
-  for (const peridot::config_change& change : changes) {
-    document["changes"].push_back(
-        {{"kind", to_text(change.kind)}, {"subject", change.subject}, {"text", change.text}});
-  }
-  std::printf("%s\n", document.dump(2).c_str());
+  std::printf("%s\n", peridot::platform::config_report_json(findings, changes).c_str());
 }
 
 int check_config_file(const std::vector<std::string>& arguments) {
