--- a/core/fleet/config_check.cc
+++ b/core/fleet/config_check.cc
@@ -66,11 +66,11 @@
   std::set<std::string> names;
   for (const route& checked : config.routes) {
     const std::string subject = subject_of(checked);
-    const auto first = first_route.try_emplace({checked.host, checked.path_prefix}, subject);
-    if (!first.second) {
-      add_error(findings, subject,
-                "never matches: " + first.first->second +
-                    " has the same host and path prefix and comes first");
+    auto [first, is_first] = first_route.try_emplace({checked.host, checked.path_prefix}, subject);
+    if (!is_first) {
+      add_error(
+          findings, subject,
+          "never matches: " + first->second + " has the same host and path prefix and comes first");
     }
     if (!checked.name.value.empty() && !names.insert(checked.name.value).second) {
       add_warning(findings, subject, "has the name of another route: logs cannot tell them apart");
@@ -138,12 +138,12 @@
       add_warning(findings, subject, "has no keys: it can send no calls");
     }
     for (const std::string& key : checked.keys) {
-      const auto owner = owner_by_key.try_emplace(key, checked.name.value);
+      auto [owner, is_new] = owner_by_key.try_emplace(key, checked.name.value);
       if (key.empty()) {
         add_error(findings, subject, "has an empty key");
-      } else if (!owner.second) {
+      } else if (!is_new) {
         add_error(findings, subject,
-                  "has a key that organisation " + owner.first->second +
+                  "has a key that organisation " + owner->second +
                       " has too: the later one gets its calls");
       }
     }
