--- /dev/null
+++ b/review/standins/recording_server.cc
@@ -0,0 +1,97 @@
+// A server of the platform that answers each request after a fixed time and records its runs.
+//
+//   recording_server ADDRESS ID WORK_MS RECORD
+//
+// RECORD gets a line for each request that it begins to run, "run ATTEMPT_ID MS", and one when the
+// run ends, "end ATTEMPT_ID MS". It drops a request whose connection has closed, as most servers
+// do: "dropped ATTEMPT_ID MS". Times are of the monotonic clock.
+#include <poll.h>
+
+#include <cstdio>
+#include <mutex>
+#include <thread>
+
+#include "review/standins/http_io.h"
+
+namespace {
+
+constexpr std::chrono::milliseconds crash_delay{50};
+
+struct server {
+  std::string id;
+  int work_ms = 0;
+  std::FILE* record = nullptr;
+  std::mutex record_lock;
+};
+
+void write_record(server& self, const char* what, const std::string& attempt_id) {
+  const std::lock_guard<std::mutex> lock(self.record_lock);
+  std::fprintf(self.record, "%s %s %lld\n", what, attempt_id.c_str(),
+               static_cast<long long>(review::monotonic_ms()));
+  std::fflush(self.record);
+}
+
+// Works for the fixed time. False if the caller has closed the connection meanwhile.
+bool work(const server& self, int socket) {
+  pollfd closed{socket, POLLRDHUP, 0};
+  return poll(&closed, 1, self.work_ms) == 0;
+}
+
+void serve(server& self, int socket) {
+  review::set_no_delay(socket);
+  review::reader input{socket, ""};
+  while (true) {
+    review::message request;
+    if (!review::read_message(input, request)) {
+      break;
+    }
+    const std::string attempt_id = review::header_of(request, "X-Peridotspur-Attempt-Id");
+    const std::string echo = "X-Peridotspur-Attempt-Id: " + attempt_id + "\r\n";
+    if (review::header_of(request, "X-Peridotspur-Expect-Instance") != self.id) {
+      review::send_all(socket,
+                       "HTTP/1.1 421 Misdirected Request\r\n" + echo + "Content-Length: 0\r\n\r\n");
+      continue;
+    }
+    if (request.body == "poison" || request.body == "slow-poison") {
+      std::this_thread::sleep_for(request.body == "poison" ? std::chrono::milliseconds(0)
+                                                           : crash_delay);
+      write_record(self, "crash", attempt_id);
+      std::_Exit(3);
+    }
+    write_record(self, "run", attempt_id);
+    if (!work(self, socket)) {
+      write_record(self, "dropped", attempt_id);
+      break;
+    }
+    write_record(self, "end", attempt_id);
+    std::string answer = "HTTP/1.1 200 OK\r\n" + echo;
+    answer += "X-Peridotspur-Server-Stamp: " + self.id;
+    answer += "." + attempt_id + "\r\nContent-Length: 5\r\n\r\ndone\n";
+    if (!review::send_all(socket, answer)) {
+      break;
+    }
+  }
+  close(socket);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc != 5) {
+    return 2;
+  }
+  server self;
+  self.id = argv[2];
+  self.work_ms = std::atoi(argv[3]);
+  self.record = std::fopen(argv[4], "w");
+  const int listener = review::listen_on(argv[1]);
+  if (self.record == nullptr || listener < 0) {
+    return 2;
+  }
+  while (true) {
+    const int socket = accept(listener, nullptr, nullptr);
+    if (socket >= 0) {
+      std::thread(serve, std::ref(self), socket).detach();
+    }
+  }
+}
