--- a/review/lib/lib.sh
+++ b/review/lib/lib.sh
@@ -10,9 +10,6 @@
 WORK=$(mktemp -d)
 RECORD=$CASE_DIR/record.txt
 TROUBLE=${TROUBLE:-1}
-NET=$((RANDOM % 200 + 20))
-FIRST_TARGET_PORT=$((RANDOM % 9000 + 20000))
-STORE=127.$NET.0.250:19000
 ROUTER_COUNT=3
 GRACE_S=8
 STANDIN_TARGETS=""  # flags of platform_standin
@@ -96,13 +93,25 @@
   give_up "router $n is not ready within 10 s"
 }
 
+# Starts the platform's stand-in at addresses that are free.
+start_platform() {
+  local try
+  for try in 1 2 3 4 5; do
+    NET=$((RANDOM % 200 + 20))
+    STORE=127.$NET.0.250:19000
+    "$REPO_DIR/build-review/platform_standin" --store="$STORE" \
+      --first_port=$((RANDOM % 9000 + 20000)) $STANDIN_TARGETS >"$WORK/platform.log" 2>&1 &
+    PIDS[platform]=$!
+    sleep 0.5
+    if is_running platform; then return 0; fi
+    wait "${PIDS[platform]}" || true
+  done
+  give_up "the platform's stand-in does not start"
+}
+
 start_fleet() {
   local n
-  "$REPO_DIR/build-review/platform_standin" --store="$STORE" --first_port=$FIRST_TARGET_PORT \
-    $STANDIN_TARGETS >"$WORK/platform.log" 2>&1 &
-  PIDS[platform]=$!
-  sleep 0.3
-  is_running platform || give_up "the platform's stand-in does not start"
+  start_platform
   for n in $(seq $ROUTER_COUNT); do
     write_settings "$n" $GRACE_S
     start_router "$n"
--- a/review/standins/recording_client.cc
+++ b/review/standins/recording_client.cc
@@ -2,6 +2,8 @@
 //
 //   recording_client MACHINES CLIENTS SECONDS PAUSE_MS PATH BODY RECORD
 //
+// They send POST requests, or GET requests if BODY is empty.
+//
 // MACHINES: comma-separated addresses, of which the platform gives one to each new connection. It
 // asks each machine once a second whether it is ready, at port 8780 of the same address; after two
 // misses the machine gets no new connections until it is ready again. Each client keeps its
@@ -61,7 +63,7 @@
 }
 
 std::string make_request(const client_group& group, const std::string& attempt_id) {
-  return "POST " + group.path +
+  return (group.body.empty() ? "GET " : "POST ") + group.path +
          " HTTP/1.1\r\nHost: app.example\r\nX-Peridotspur-Attempt-Id: " + attempt_id +
          "\r\nX-Peridotspur-Deadline-Ms: " + std::to_string(deadline_ms) +
          "\r\nApi-Key: key-1\r\nContent-Length: " + std::to_string(group.body.size()) + "\r\n\r\n" +
@@ -71,7 +73,7 @@
 // Sends one request. True if the connection may be used again.
 bool send_request(client_group& group, review::reader& connection, const std::string& machine) {
   const std::string attempt_id =
-      group.body + "-" + std::to_string(getpid()) + "-" + std::to_string(group.next_id++);
+      "a" + std::to_string(getpid()) + "-" + std::to_string(group.next_id++);
   if (!review::send_all(connection.socket, make_request(group, attempt_id))) {
     return false;  // closed before
   }
--- a/review/standins/recording_server.cc
+++ b/review/standins/recording_server.cc
@@ -4,7 +4,9 @@
 //
 // RECORD gets a line for each request that it begins to run, "run ATTEMPT_ID MS", and one when the
 // run ends, "end ATTEMPT_ID MS". It drops a request whose connection has closed, as most servers
-// do: "dropped ATTEMPT_ID MS". Times are of the monotonic clock.
+// do: "dropped ATTEMPT_ID MS". A request crashes the process as it begins to run if its body is
+// "poison", and crash_delay later if its body or its query is "slow-poison": "crash ATTEMPT_ID MS".
+// Times are of the monotonic clock.
 #include <poll.h>
 
 #include <cstdio>
@@ -52,9 +54,10 @@
                        "HTTP/1.1 421 Misdirected Request\r\n" + echo + "Content-Length: 0\r\n\r\n");
       continue;
     }
-    if (request.body == "poison" || request.body == "slow-poison") {
-      std::this_thread::sleep_for(request.body == "poison" ? std::chrono::milliseconds(0)
-                                                           : crash_delay);
+    const bool slow_poison = request.body == "slow-poison" ||
+                             request.start_line.find("?slow-poison ") != std::string::npos;
+    if (slow_poison || request.body == "poison") {
+      std::this_thread::sleep_for(slow_poison ? crash_delay : std::chrono::milliseconds(0));
       write_record(self, "crash", attempt_id);
       std::_Exit(3);
     }
