--- a/router/peer_items.cc
+++ b/router/peer_items.cc
@@ -148,6 +148,11 @@
   const store_revision known = std::min(own.operator_items, own.target_items);
   message.message.mutable_items_request()->set_after_revision(known.number);
   message.message.mutable_items_request()->set_after_epoch(known.epoch);
+  log_line(log_part::config, log_level::info,
+           "Items requested from a peer. peer=" + peer.value + " known_operator=" +
+               to_text(own.operator_items) + " known_target=" + to_text(own.target_items) +
+               " announced_operator=" + to_text(announced.operator_items) +
+               " announced_target=" + to_text(announced.target_items));
   send_message(*router.peer_mesh, message);
 }
 
