Compare what peers announce with the revision read, not with the newest item held

Cause: a router knows all changes up to the revision at which it read the store, but compared what peers announce with its newest item. A removal leaves no item in a process that started later, so a stale peer looked ahead; its entry met no tombstone and was applied. Evacuations that were taken back returned in the same way.

The router read servers/ at 0:106 (the removal), held 0:104, asked since the peer announced 0:105, and applied the entry with source=peer. Ruled out: a read before the removal, a removal taken for an expiry.

Change: each prefix has the revision up to which all changes are known, from ranges, watches and what peers send without a gap. It replaces the newest item in what is compared: being behind, requests, the view of the targets, final removals. A peer's item up to there under a key that is not held is ignored. What is announced stays the newest change. Why it works: a peer can only add what lies beyond what was read; within it, an item that is not held was removed. Removals, configurations, later epochs and peers that are ahead count as before, and so does everything from peers while the store was never read.

The lines added to the tests of settled removals record what the store client records after a read.

--- a/router/peer_internal.h
+++ b/router/peer_internal.h
@@ -62,12 +62,16 @@
 void on_digest(router_state& router, const router_identity& from, const wire::digest& digest);
 
 // peer_items.cc
-// The newest revisions up to which this router knows all items.
 struct known_revisions {
   store_revision operator_items;
   store_revision target_items;
 };
+// The revisions up to which this router knows all changes, removals included.
 known_revisions revisions_known(const router_state& router);
+// The newest changes among these, as other routers are told. Lower, since removals from before a
+// router started leave no item in it: a router is behind if the newest change of another is above
+// revisions_known().
+known_revisions newest_changes(const router_state& router);
 // Up to where removals of targets are known to be final, by this router or another one.
 store_revision settled_removals_known(const router_state& router);
 // A peer knows that removals of targets up to the revision are final.
@@ -75,16 +79,16 @@
 // Sets what a report or digest says of the store's items.
 template <class Message>
 void set_revisions(const router_state& router, Message& message) {
-  const known_revisions known = revisions_known(router);
-  const std::uint64_t epoch = std::max(known.operator_items.epoch, known.target_items.epoch);
+  const known_revisions newest = newest_changes(router);
+  const std::uint64_t epoch = std::max(newest.operator_items.epoch, newest.target_items.epoch);
   message.set_store_epoch(epoch);
-  message.set_operator_revision(known.operator_items.epoch == epoch ? known.operator_items.number
-                                                                    : 0);
-  message.set_target_revision(known.target_items.epoch == epoch ? known.target_items.number : 0);
+  message.set_operator_revision(newest.operator_items.epoch == epoch ? newest.operator_items.number
+                                                                     : 0);
+  message.set_target_revision(newest.target_items.epoch == epoch ? newest.target_items.number : 0);
   const store_revision settled = settled_removals_known(router);
   message.set_settled_revision(settled.epoch == epoch ? settled.number : 0);
   const store_revision& heard = router.view.newest_heard;
-  if (heard.epoch == epoch && is_behind(router.view, known.target_items)) {
+  if (heard.epoch == epoch && is_behind(router.view, revisions_known(router).target_items)) {
     message.set_heard_target_revision(heard.number);
   }
 }
--- a/router/peer_items.cc
+++ b/router/peer_items.cc
@@ -27,17 +27,6 @@
          (platform::is_complete(router.store_client) || !router.membership.uses_delegates);
 }
 
-void set_known(router_state& router) {
-  if (knows_all_from_store(router)) {
-    router.items.known_operator = router.store.newest_operator_revision;
-    router.items.known_target = router.store.newest_target_revision;
-  }
-}
-
-void advance(store_revision& known, const store_revision& to) {
-  known = std::max(known, to);
-}
-
 void add_items(const router_state& router, const std::vector<platform::store_item>& items,
                wire::items_reply& reply) {
   for (const platform::store_item& item : items) {
@@ -98,10 +87,13 @@
 }  // namespace
 
 known_revisions revisions_known(const router_state& router) {
-  if (!router.membership.uses_delegates || knows_all_from_store(router)) {
-    return {router.store.newest_operator_revision, router.store.newest_target_revision};
-  }
-  return {router.items.known_operator, router.items.known_target};
+  return {router.store.read_operator_revision, router.store.read_target_revision};
+}
+
+known_revisions newest_changes(const router_state& router) {
+  const known_revisions known = revisions_known(router);
+  return {std::min(router.store.newest_operator_revision, known.operator_items),
+          std::min(router.store.newest_target_revision, known.target_items)};
 }
 
 store_revision settled_removals_known(const router_state& router) {
@@ -203,8 +195,10 @@
     }
   }
   if (continues) {
-    advance(router.items.known_operator, {reply.to_epoch(), reply.to_operator_revision()});
-    advance(router.items.known_target, {reply.to_epoch(), reply.to_target_revision()});
+    platform::record_read(router.store, platform::operator_prefix,
+                          {reply.to_epoch(), reply.to_operator_revision()});
+    platform::record_read(router.store, platform::target_prefix,
+                          {reply.to_epoch(), reply.to_target_revision()});
   }
   if (router.store_client.on_change) {
     router.store_client.on_change();
@@ -212,12 +206,11 @@
 }
 
 void pass_on_items(router_state& router) {
-  set_known(router);
   if (!router.membership.uses_delegates) {
     return;
   }
   const known_revisions from{router.items.passed_operator, router.items.passed_target};
-  const known_revisions to = revisions_known(router);
+  const known_revisions to = newest_changes(router);
   if (to.operator_items <= from.operator_items && to.target_items <= from.target_items) {
     return;
   }
@@ -239,7 +232,6 @@
 void update_store_reading(router_state& router, instant now) {
   const bool reads = now < router.items.read_store_until || reads_store(router.membership, now);
   if (reads != router.store_client.reading) {
-    set_known(router);
     platform::set_reading(router.store_client, reads);
   }
 }
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -161,9 +161,6 @@
 
 // Which of the store's items this router knows, where others read the store for it.
 struct item_progress {
-  // All items up to these revisions are known.
-  store_revision known_operator;
-  store_revision known_target;
   // Up to these, changes were passed on to the routers that rely on this one.
   store_revision passed_operator;
   store_revision passed_target;
--- a/router/testing/digest_test.cc
+++ b/router/testing/digest_test.cc
@@ -187,8 +187,8 @@
   removal.set_may_be_expired(true);
   on_items_reply(router, delegate, update);
   REQUIRE(is_usable(router.store.targets, router.store.targets.targets.at(engine)));
-  router.items.known_operator = {1, 12};
-  router.items.known_target = {1, 12};
+  platform::record_read(router.store, platform::operator_prefix, {1, 12});
+  platform::record_read(router.store, platform::target_prefix, {1, 12});
   wire::digest digest;
   digest.set_domain("b");
   digest.set_store_epoch(1);
