Count only failures of the store that let entries expire as outages

Cause: every failed call was an outage, and a removal read within 1 s after one an expiry, which holds the target until 2.2 s after the newest outage. Each cut started that anew; the constants together exceed the limit of 2 s.

Evidence: the log has the removal 100 ms after the cut with lapsed=1 and nothing of the target afterwards. Ruled out: a late read, and an entry that came back.

Change: an outage has to last half a heartbeat interval, from the first failed call to the next success; a call without an answer counts from its start, a cut watch from the cut. After a shorter failure the target is used for half the limit after the removal, whatever fails meanwhile. After an outage as before. core/fleet/removal_times derives the times from the settings, with their invariants. Why it works: entries expire after three intervals, so a shorter failure lets none expire; and what is held all the same is held within the limit.

Opposite: entries that expired in an outage (the store rejects calls, or is silent) are used until they are back.

--- a/core/fleet/config_and_targets.cc
+++ b/core/fleet/config_and_targets.cc
@@ -121,17 +121,18 @@
   }
 }
 
-void on_target_removed(target_table& table, const target_name& name, bool may_have_expired,
+void on_target_removed(target_table& table, const target_name& name, removal_cause cause,
                        instant now) {
   auto found = table.targets.find(name);
   if (found == table.targets.end()) {
     return;
   }
   ++table.generation;
-  if (may_have_expired && !found->second.leaving) {
+  if (cause != removal_cause::left && !found->second.leaving) {
     if (!found->second.entry_expired) {
       found->second.entry_expired = true;
       found->second.entry_expired_at = now;
+      found->second.expired_in_outage = cause == removal_cause::outage;
     }
     return;
   }
@@ -140,14 +141,14 @@
 
 void remove_expired_targets(target_table& table, bool store_unavailable, instant store_recovered_at,
                             instant now) {
-  if (store_unavailable) {
-    return;
-  }
   const std::size_t erased =
       std::erase_if(table.targets, [&](const std::pair<const target_name, target_state>& entry) {
-        return entry.second.entry_expired &&
-               now >= std::max(store_recovered_at + expiry_grace,
-                               entry.second.entry_expired_at + removal_grace);
+        const target_state& target = entry.second;
+        const bool had_time_to_reappear =
+            !target.expired_in_outage ||
+            (!store_unavailable && now >= store_recovered_at + expiry_grace);
+        return target.entry_expired && had_time_to_reappear &&
+               now >= target.entry_expired_at + table.removal_grace;
       });
   table.generation += erased;
 }
--- a/core/fleet/config_and_targets.h
+++ b/core/fleet/config_and_targets.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "core/base/types.h"
+#include "core/fleet/removal_times.h"
 
 namespace peridot {
 
@@ -158,7 +159,8 @@
   bool leaving = false;        // by its entry or its responses; reset only by a restart
   instant entry_expired_at{};  // when the entry disappeared; see on_target_removed()
   bool entry_expired = false;
-  instant build_doubted_at{};  // see doubt_build()
+  bool expired_in_outage = false;  // valid if entry_expired; else after a short failure
+  instant build_doubted_at{};      // see doubt_build()
 };
 
 struct target_table {
@@ -167,19 +169,12 @@
   // Incremented when a target is added, removed, loses its entry, restarts or starts to
   // leave, and by each call of on_evacuation().
   std::uint64_t generation = 1;
+  // Minimum time from the disappearance of an entry that may have expired to the removal of
+  // its target. After an outage it takes effect when the entry disappears more than expiry_grace -
+  // removal_grace after the recovery: such an entry did not expire during the outage.
+  milliseconds removal_grace = removal_times{}.removal_grace;
 };
 
-// How long after the store's recovery a target is still used whose entry may have expired
-// because it could not be renewed while the store was unavailable. The platform states that
-// entries reappear within about 2 s.
-inline constexpr milliseconds expiry_grace{2'200};
-
-// Minimum time from the disappearance of an entry that may have expired to the removal of
-// its target. It takes effect when the entry disappears more than expiry_grace -
-// removal_grace after the recovery: such an entry did not expire during the outage. Half of
-// the platform's limit for leaving targets.
-inline constexpr milliseconds removal_grace{1'000};
-
 // How long the build of a target is doubted that could not be reached: if it has started again, its
 // new entry arrives meanwhile, unless the store is unavailable.
 inline constexpr milliseconds build_doubt_time{2'000};
@@ -190,17 +185,22 @@
 void on_target_entry(target_table& table, const fleet_config* config, const target_entry& entry,
                      instant now);
 
-// Handles the removal of an entry. `may_have_expired`: the entry may have disappeared only
-// because it could not be renewed: the store is or was recently unavailable, for this router
-// or for the peer that reported the removal.
-// The target then stays in use until remove_expired_targets() removes it, unless it is
-// leaving.
-void on_target_removed(target_table& table, const target_name& name, bool may_have_expired,
+// Why an entry was removed; core/fleet/removal_times.h.
+enum class removal_cause {
+  left,           // the target has left
+  short_failure,  // as far as is known; a call to the store had just failed
+  outage,         // it may have expired in an outage of the store, as this router or the peer that
+                  // reported the removal has seen it
+};
+
+// Handles the removal of an entry. Unless the target has left or is leaving, it stays in use until
+// remove_expired_targets() removes it.
+void on_target_removed(target_table& table, const target_name& name, removal_cause cause,
                        instant now);
 
-// Removes targets whose entry expired, expiry_grace after the store's recovery and no
-// sooner than removal_grace after the entry disappeared. `store_unavailable`: the store has
-// not recovered yet, and nothing is removed.
+// Removes targets whose entry may have expired, no sooner than removal_grace after the entry
+// disappeared; if that was in an outage, also no sooner than expiry_grace after the store's
+// recovery, and not while `store_unavailable`: it has not recovered yet.
 void remove_expired_targets(target_table& table, bool store_unavailable, instant store_recovered_at,
                             instant now);
 
--- a/core/settings/settings.cc
+++ b/core/settings/settings.cc
@@ -11,7 +11,8 @@
 constexpr std::size_t max_seeds = 64;
 constexpr value_range<std::size_t> fleet_key_bytes{16, 512};
 constexpr value_range<milliseconds> stop_grace_range{milliseconds{500}, milliseconds{3'600'000}};
-constexpr value_range<milliseconds> touch_range{milliseconds{100}, milliseconds{600'000}};
+// Of store_touch, leaving_limit and heartbeat_interval.
+constexpr value_range<milliseconds> store_time_range{milliseconds{100}, milliseconds{600'000}};
 constexpr value_range<milliseconds> gossip_interval_range{milliseconds{20}, milliseconds{10'000}};
 constexpr value_range<double> ratio_range{0, 100};
 constexpr value_range<double> slack_range{0, 1e6};
@@ -42,7 +43,9 @@
 void read_limits(table_reader& reader, router_settings& settings) {
   read_milliseconds(reader, "stop_grace_ms", stop_grace_range, settings.stop_grace);
   read_seconds(reader, "stop_grace_s", stop_grace_range, settings.stop_grace);
-  read_milliseconds(reader, "store_touch_ms", touch_range, settings.store_touch);
+  read_milliseconds(reader, "store_touch_ms", store_time_range, settings.store_touch);
+  read_milliseconds(reader, "leaving_limit_ms", store_time_range, settings.leaving_limit);
+  read_milliseconds(reader, "heartbeat_interval_ms", store_time_range, settings.heartbeat_interval);
   read_milliseconds(reader, "gossip_interval_ms", gossip_interval_range, settings.gossip_interval);
   read_number(reader, "processor_share", ratio_range, settings.processor_share);
   read_number(reader, "retry_ratio", ratio_range, settings.retry_ratio);
--- a/core/settings/settings.h
+++ b/core/settings/settings.h
@@ -42,6 +42,9 @@
   // The platform's recovery window: items_reply messages report store_disturbed for this time
   // after a store failure.
   std::chrono::milliseconds store_touch{3'000};
+  // The platform's limit, from the removal of a target's entry to the last call to the target.
+  std::chrono::milliseconds leaving_limit{2'000};
+  std::chrono::milliseconds heartbeat_interval{1'200};  // at which targets renew their entries
   std::chrono::milliseconds gossip_interval{200};
   double processor_share = 0;  // of a core that the process may use; 0: unknown
   double retry_ratio = 0.2;    // platform's limit on retries in any window: this many per call
--- a/router/peer_digest.cc
+++ b/router/peer_digest.cc
@@ -421,7 +421,11 @@
   }
   if (relies_on_sender && !router.store_client.reading &&
       digest.store_disturbed() != router.store.unavailable) {
-    platform::record_store_call(router.store, !digest.store_disturbed(), now);
+    if (digest.store_disturbed()) {
+      platform::record_store_failure(router.store, now, now);
+    } else {
+      platform::record_store_success(router.store, now);
+    }
   }
   note_heard_revision(router, digest);
   if (relies_on_sender && !digest.of_domain()) {
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -276,6 +276,12 @@
   send_gossip(router);
 }
 
+void apply_removal_times(router_state& router) {
+  platform::set_removal_times(
+      router.store, make_removal_times(router.settings.heartbeat_interval,
+                                       router.settings.leaving_limit, router.settings.store_touch));
+}
+
 // Reloads the settings. The name, the failure domain, and the mesh and callers addresses keep
 // their values. Other settings that are only read at start take effect after a restart: the
 // readiness, control, metrics and store addresses, fleet_key, log_level, gossip_interval_ms,
@@ -292,6 +298,7 @@
   router.settings.domain = previous.domain;
   router.settings.mesh_address = previous.mesh_address;
   router.settings.callers_address = previous.callers_address;
+  apply_removal_times(router);
   router.membership.seeds = mesh_seeds(router.settings);
   for (const router_address& seed : router.membership.seeds) {
     if (seed != router.self.address) {
@@ -417,6 +424,7 @@
   router.started_at = current_time();
   router.rate_limiter.self = router.self.address;
   router.rate_limiter.started_at = router.started_at;
+  apply_removal_times(router);
   router.target_client.base = router.base.get();
   router.membership = make_membership(router.self, mesh_seeds(settings), settings.gossip_interval,
                                       router.started_at);
--- a/standins/platform_standin.cc
+++ b/standins/platform_standin.cc
@@ -593,8 +593,12 @@
   platform.history = platform.copy.history;
   platform.revision = platform.copy.revision;
   ++platform.era;
+  cut_watches(platform);
+}
+
+void cut_watches(platform_standin& platform) {
   for (const std::unique_ptr<pending_watch>& watch : platform.pending_watches) {
-    abort_response(*watch->exchange);  // a waiting watch is cut
+    abort_response(*watch->exchange);
   }
   platform.pending_watches.clear();
 }
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -137,6 +137,9 @@
 void copy_store(platform_standin& platform);
 void restore_store(platform_standin& platform);
 
+// Closes the connections of the watches that wait.
+void cut_watches(platform_standin& platform);
+
 // The configuration that start_platform() publishes, as version `version`.
 std::string sample_config(std::uint64_t version);
 
