Reject responses whose status is none

Cause: the parser took any three digits for a status, and the client any status below 200 for interim. Ruled out: that 000 is passed on itself.

Change: a status outside 100 to 599 (RFC 9110, section 15), or 101, which no request asks for, makes a response malformed: 502, or another target where the call may be repeated.

--- a/net/http_message.cc
+++ b/net/http_message.cc
@@ -10,8 +10,12 @@
 namespace {
 
 constexpr std::string_view head_end = "\r\n\r\n";
-constexpr std::size_t status_offset = 9;       // length of "HTTP/1.1 "
-constexpr std::size_t max_length_digits = 18;  // fits into 64 bits
+// Other values are invalid (RFC 9110, section 15).
+constexpr int min_status = 100;
+constexpr int max_status = 599;
+constexpr int status_switching_protocols = 101;  // no request here asks for another protocol
+constexpr std::size_t status_offset = 9;         // length of "HTTP/1.1 "
+constexpr std::size_t max_length_digits = 18;    // fits into 64 bits
 
 bool is_token_character(char character) {
   const unsigned char value = static_cast<unsigned char>(character);
@@ -44,6 +48,12 @@
     return "status line";
   }
   head.status = std::atoi(std::string(line.substr(status_offset, 3)).c_str());
+  if (head.status < min_status || head.status > max_status) {
+    return "status code";
+  }
+  if (head.status == status_switching_protocols) {
+    return "switches to a protocol that was not asked for";
+  }
   head.minor_version = line[7] - '0';
   return "";
 }
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -3,8 +3,8 @@
 // A head is rejected if two implementations could parse it differently, which would allow
 // request smuggling: bare CR or LF, control characters, folded lines, header names that
 // are not tokens, two lengths, a length together with a transfer coding, any transfer
-// coding but "chunked", a transfer coding in HTTP/1.0, or, in a request, not exactly one
-// Host header.
+// coding but "chunked", a transfer coding in HTTP/1.0, in a request, not exactly one
+// Host header, or, in a response, a status that is not 100 or 102 to 599.
 //
 //   http_parser parser;
 //   reset_parser(parser, message_kind::request);
