Decide whether a response without length is whole once its request has arrived

Here a reset was a 502 before; an end of the target's side, 20 ms before the reset, was told as a whole 200.

Cause: the client took the end of the target's side for the end of the response while its request was still being written. A process that dies with an empty receive buffer ends its side in an orderly way; the reset only meets the next bytes of the upload. Ruled out: that a reset alone is told as whole.

Change: the call stays open until the target's host has acknowledged the request. Then the response is whole; if the connection is reset instead, it is not (RFC 9112, section 8: complete unless the connection indicated an error). Why it works: a target that has responded in full goes on reading (section 9.6), one that broke off cannot.

Test: the close before the reset failed before (200 with the part). Its opposites: a target that reads on, a request that had arrived, responses with a length.

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -1,7 +1,9 @@
 #include "net/http_client.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <charconv>
@@ -23,6 +25,9 @@
 // Detects servers that no longer acknowledge data.
 constexpr unsigned int tcp_user_timeout_ms = 3'000;
 
+// How often a connection is checked that the server has closed before it had the whole request.
+constexpr milliseconds delivery_check_interval{10};
+
 void set_timeout(client_connection& connection, milliseconds time) {
   if (time == milliseconds{0}) {
     event_del(connection.timer.get());
@@ -235,6 +240,47 @@
   }
 }
 
+// True if the server's host has received the whole request.
+bool is_request_delivered(const client_connection& connection) {
+  int unacknowledged = 0;
+  return evbuffer_get_length(bufferevent_get_output(connection.stream)) == 0 &&
+         (ioctl(bufferevent_getfd(connection.stream), SIOCOUTQ, &unacknowledged) != 0 ||
+          unacknowledged == 0);
+}
+
+void on_delivery_timer(evutil_socket_t, short, void* argument);
+
+// Ends the call if the server's close completes the response. A server that closes while the
+// request is still being written has ended its response in an orderly way only if it goes on to
+// receive the request. If it does not, the connection is reset: the server has broken off, and what
+// it sent before may be a part of the response (RFC 9112, section 8).
+void end_at_close(client_connection& connection) {
+  int error = 0;
+  socklen_t length = sizeof(error);
+  getsockopt(bufferevent_getfd(connection.stream), SOL_SOCKET, SO_ERROR, &error, &length);
+  if (error != 0) {
+    connection.call->connection_lost = true;
+    close_with_error(connection, evutil_socket_error_to_string(error));
+    return;
+  }
+  if (!is_request_delivered(connection)) {
+    if (connection.delivery_timer == nullptr) {
+      connection.delivery_timer.reset(
+          evtimer_new(connection.client->base, on_delivery_timer, &connection));
+    }
+    const timeval delay = to_timeval(delivery_check_interval);
+    event_add(connection.delivery_timer.get(), &delay);
+    return;
+  }
+  if (deliver_received(connection)) {
+    complete_response(connection);
+  }
+}
+
+void on_delivery_timer(evutil_socket_t, short, void* argument) {
+  end_at_close(*static_cast<client_connection*>(argument));
+}
+
 void on_event(bufferevent*, short events, void* argument) {
   client_connection& connection = *static_cast<client_connection*>(argument);
   if ((events & BEV_EVENT_CONNECTED) != 0) {
@@ -252,9 +298,7 @@
   }
   if ((events & BEV_EVENT_EOF) != 0 && connection.call != nullptr &&
       !connection.skipping_response && finish_at_close(connection.parser)) {
-    if (deliver_received(connection)) {
-      complete_response(connection);
-    }
+    end_at_close(connection);
     return;
   }
   if (connection.call != nullptr) {
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -14,6 +14,10 @@
 //   pause_call(*handle); resume_call(*handle);   // back pressure
 //   cancel_call(*handle);                        // closes; no handler is called any more
 //
+// A response without length and chunks ends when the server closes the connection. If it closes
+// while the request is being written, the response is complete once the server's host has received
+// the request, and incomplete if the connection is reset before.
+//
 // A response that carries another call's id in the echo header belongs to an earlier call
 // and is skipped. A connection is not reused after a skipped response, bytes after a
 // response, a response that ended before the whole request was written, or an announced
@@ -104,6 +108,9 @@
   bool skipping_response = false;  // the current response is interim or belongs to another call
   bool must_close = false;         // not reusable after the current call
   bool head_delivered = false;     // to the handlers of the call
+  // Runs while the server has ended its response by closing the connection, and may not have
+  // received the whole request.
+  event_ptr delivery_timer;
   instant idle_since{};
   milliseconds server_idle_timeout{0};  // from the Keep-Alive header; 0: not sent
   std::list<client_connection*>::iterator position_in_all;
