Give each call a final answer when the time to stop is over

Here none is taken late, but what was in progress at the end was cut so: calls at targets, uploads that were arriving, requests in the kernel and in the backlog. A SIGHUP with a longer grace during a stop moved its end beyond the platform's kill.

Cause: the process left its event loop and closed its connections; the steps were computed anew from the settings in force. Ruled out: calls taken after refusals began (kept connections, uploads, backlog: all 503).

Change: router/planned_stop.cc has the stop, out of router_process.cc. At its end each call in progress gets 502 if it may have run, 503 if not, an aborted response if it had begun; requests that have arrived get 503; the process ends 20 ms later. The steps follow the settings at the signal. Why it works: every request that was read is answered before the loop ends.

--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -417,6 +417,17 @@
   }
 }
 
+void reject_unfinished_requests(http_listener& listener, std::string_view problem) {
+  const std::set<http_connection*> open_connections = listener.connections;
+  for (http_connection* connection : open_connections) {
+    const bool is_unfinished = connection->receiving_request && connection->exchange == nullptr &&
+                               !connection->close_after_response && !connection->lingering;
+    if (is_unfinished) {
+      reject_request(*connection, 503, problem);
+    }
+  }
+}
+
 void send_response(http_exchange& exchange, int status, const std::vector<http_header>& headers,
                    std::string_view body) {
   start_response(exchange, status, headers, body.size());
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -142,6 +142,9 @@
 // that has been idle for a shorter time, the caller's next request may already be in flight.
 void close_idle_connections(http_listener& listener, milliseconds min_idle_time);
 
+// Answers 503 to the requests of which a part has been read, and closes their connections.
+void reject_unfinished_requests(http_listener& listener, std::string_view problem);
+
 // The functions below have no effect once the caller has disconnected. `headers` must not
 // contain Content-Length, Transfer-Encoding or other hop-by-hop headers.
 void send_response(http_exchange& exchange, int status, const std::vector<http_header>& headers,
--- a/router/call_arrival.cc
+++ b/router/call_arrival.cc
@@ -17,18 +17,7 @@
 }
 
 void on_deadline(evutil_socket_t, short, void* argument) {
-  active_call& call = *static_cast<active_call*>(argument);
-  if (call.current_attempt != nullptr) {
-    call.may_have_run = call.may_have_run || call.current_attempt->target_call->may_have_sent;
-    end_attempt(call, call_result::incomplete_response);
-  }
-  if (call.response_started) {
-    end_with_aborted_response(call, refusal::deadline);
-  } else if (call.may_have_run) {
-    end_with_failure(call, refusal::deadline);
-  } else {
-    end_with_refusal(call, refusal::deadline, duration{0});
-  }
+  give_up(*static_cast<active_call*>(argument), refusal::deadline, duration{0});
 }
 
 void on_caller_disconnected(active_call& call) {
--- a/router/call_end.cc
+++ b/router/call_end.cc
@@ -147,6 +147,20 @@
   finish_call(call, call_outcome::failed, status, reason);
 }
 
+void give_up(active_call& call, refusal reason, duration retry_after) {
+  if (call.current_attempt != nullptr) {
+    call.may_have_run = call.may_have_run || call.current_attempt->target_call->may_have_sent;
+    end_attempt(call, call_result::incomplete_response);
+  }
+  if (call.response_started) {
+    end_with_aborted_response(call, reason);
+  } else if (call.may_have_run) {
+    end_with_failure(call, reason);
+  } else {
+    end_with_refusal(call, reason, retry_after);
+  }
+}
+
 void end_answered(active_call& call, int status) {
   ++call.router->call_metrics.answered_calls;
   finish_call(call, call_outcome::answered, status, refusal::none);
--- a/router/call_internal.h
+++ b/router/call_internal.h
@@ -65,6 +65,8 @@
 void end_with_failure(active_call& call, refusal reason);
 void end_answered(active_call& call, int status);
 void end_with_aborted_response(active_call& call, refusal reason);
+// Ends a call that goes no further, and its current attempt, by whichever of these three is true.
+void give_up(active_call& call, refusal reason, duration retry_after);
 void end_after_disconnect(active_call& call);
 
 // Refuses a request for which there is no active call yet.
--- /dev/null
+++ b/router/planned_stop.cc
@@ -0,0 +1,93 @@
+#include "router/planned_stop.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "core/settings/stop_schedule.h"
+#include "net/log.h"
+#include "router/call_internal.h"
+
+namespace peridot {
+namespace {
+
+constexpr milliseconds min_idle_before_close{300};  // a request in transit arrives sooner
+// To read and refuse the requests that have arrived when the time is over.
+constexpr milliseconds final_read_time{20};
+
+// Ends all calls, each with a final answer.
+void end_all_calls(router_state& router) {
+  std::vector<std::uint64_t> ids;
+  for (const std::pair<const std::uint64_t, std::unique_ptr<active_call>>& entry : router.calls) {
+    ids.push_back(entry.first);
+  }
+  for (const std::uint64_t id : ids) {
+    active_call* call = find_call(router, id);
+    if (call != nullptr) {
+      give_up(*call, refusal::stopping, min_retry_after);
+    }
+  }
+}
+
+void end_loop(router_state& router) {
+  log_line(log_part::process, log_level::info, "Shutdown finished.");
+  event_base_loopbreak(router.base.get());
+}
+
+void end_out_of_time(router_state& router) {
+  router.ending = true;
+  router.exit_status = router.calls.empty() ? 0 : 1;
+  log_line(log_part::process, router.calls.empty() ? log_level::info : log_level::error,
+           "Time to stop is over. calls_left=" + std::to_string(router.calls.size()) +
+               " connections=" + std::to_string(router.caller_listener->connections.size()));
+  end_all_calls(router);
+  stop_accepting(*router.caller_listener);
+  reject_unfinished_requests(*router.caller_listener, to_text(refusal::stopping));
+  run_after(router.base.get(), final_read_time, [&router]() { end_loop(router); });
+}
+
+}  // namespace
+
+void begin_stop(router_state& router, instant now) {
+  if (router.stopping) {
+    return;
+  }
+  router.stopping = true;
+  router.stop_started_at = now;
+  router.stop_steps = make_stop_schedule(router.settings.stop_grace);
+  set_close_after_response(*router.caller_listener, true);
+  log_line(log_part::process, log_level::info,
+           "Graceful shutdown started. calls=" + std::to_string(router.calls.size()) +
+               " connections=" + std::to_string(router.caller_listener->connections.size()));
+}
+
+void advance_stop(router_state& router, instant now) {
+  if (router.ending) {
+    return;
+  }
+  const duration elapsed = now - router.stop_started_at;
+  const stop_schedule& steps = router.stop_steps;
+  if (elapsed >= steps.close_idle_after) {
+    close_idle_connections(*router.caller_listener, min_idle_before_close);
+  }
+  if (elapsed >= steps.refuse_after && !router.refusing_calls) {
+    router.refusing_calls = true;  // new calls are refused with 503 until the exit
+  }
+  if (elapsed >= steps.end_after) {
+    end_out_of_time(router);
+    return;
+  }
+  if (!router.refusing_calls || !router.calls.empty() ||
+      !router.caller_listener->connections.empty()) {
+    return;
+  }
+  // The listening socket is closed one tick before the exit: connections that were accepted
+  // are still served, and later ones are refused instead of closed without a response.
+  if (router.caller_listener->socket == nullptr) {
+    router.ending = true;
+    end_loop(router);
+    return;
+  }
+  stop_accepting(*router.caller_listener);
+}
+
+}  // namespace peridot
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -8,9 +8,9 @@
 #include "core/base/keep_first.h"
 #include "core/base/stable_hash.h"
 #include "core/base/version.h"
-#include "core/settings/stop_schedule.h"
 #include "net/log.h"
 #include "router/call_internal.h"
+#include "router/planned_stop.h"
 
 namespace peridot {
 namespace {
@@ -18,7 +18,6 @@
 constexpr milliseconds tick_interval{100};
 // The shortest delay after which a timer fires in a later loop iteration.
 constexpr milliseconds loop_probe_delay{1};
-constexpr milliseconds min_idle_before_close{300};    // a request in transit arrives sooner
 constexpr std::size_t max_internal_connections = 32;  // per listener: readiness, control, metrics
 
 constexpr milliseconds share_log_interval{1'000};
@@ -123,32 +122,6 @@
                                router.shares.mean_call_tokens);
 }
 
-void advance_shutdown(router_state& router, instant now) {
-  const duration elapsed = now - router.shutdown_started_at;
-  const stop_schedule schedule = make_stop_schedule(router.settings.stop_grace);
-  if (elapsed >= schedule.close_idle_after) {
-    close_idle_connections(*router.caller_listener, min_idle_before_close);
-  }
-  if (elapsed >= schedule.refuse_after && !router.refusing_calls) {
-    router.refusing_calls = true;  // new calls are refused with 503 until the exit
-  }
-  const bool is_idle =
-      router.refusing_calls && router.calls.empty() && router.caller_listener->connections.empty();
-  // The listening socket is closed one tick before the exit: connections that were accepted
-  // are still served, and later ones are refused instead of closed without a response.
-  const bool drained = is_idle && router.caller_listener->socket == nullptr;
-  if (is_idle) {
-    stop_accepting(*router.caller_listener);
-  }
-  const bool out_of_time = elapsed >= schedule.end_after;
-  if (drained || out_of_time) {
-    router.exit_status = router.calls.empty() ? 0 : 1;
-    log_line(log_part::process, router.calls.empty() ? log_level::info : log_level::error,
-             "Shutdown finished. calls_left=" + std::to_string(router.calls.size()));
-    event_base_loopbreak(router.base.get());
-  }
-}
-
 // Records how long a loop iteration took. If the overload state changes, responses start or
 // stop announcing the end of their connections, and new connections may be rejected.
 void update_overload(router_state& router, duration loop_time, instant now) {
@@ -257,23 +230,17 @@
   close_stale_connections(router.store_client.http, now);
   check_settings_file(router, now);
   if (router.stopping) {
-    advance_shutdown(router, now);
+    advance_stop(router, now);
   }
   flush_log();
 }
 
 void on_term(evutil_socket_t, short, void* argument) {
   router_state& router = *static_cast<router_state*>(argument);
-  if (router.stopping) {
-    return;
+  if (!router.stopping) {
+    begin_stop(router, current_time());
+    send_gossip(router);
   }
-  router.stopping = true;
-  router.shutdown_started_at = current_time();
-  set_close_after_response(*router.caller_listener, true);
-  log_line(log_part::process, log_level::info,
-           "Graceful shutdown started. calls=" + std::to_string(router.calls.size()) +
-               " connections=" + std::to_string(router.caller_listener->connections.size()));
-  send_gossip(router);
 }
 
 void apply_removal_times(router_state& router) {
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -2,8 +2,8 @@
 //
 // Internal to router/. The tables are defined in core/ and platform/. router/call_*.cc
 // processes calls, router/peer_exchange.cc exchanges gossip with other routers,
-// router/control_pages.cc serves the readiness, status and metrics pages, and
-// router/router_process.cc starts and stops the process.
+// router/control_pages.cc serves the readiness, status and metrics pages,
+// router/router_process.cc starts the process, and router/planned_stop.cc ends it.
 // Thread safety: none; for use from one event loop.
 #pragma once
 
@@ -22,6 +22,7 @@
 #include "core/fleet/fleet.h"
 #include "core/routing/routing.h"
 #include "core/settings/settings.h"
+#include "core/settings/stop_schedule.h"
 #include "net/connect_probe.h"
 #include "net/http_client.h"
 #include "net/http_listener.h"
@@ -233,7 +234,9 @@
   bool ready = false;
   bool stopping = false;
   bool refusing_calls = false;  // late in the shutdown: new calls are refused
-  instant shutdown_started_at{};
+  bool ending = false;          // at the end of the shutdown: the loop is about to end
+  instant stop_started_at{};
+  stop_schedule stop_steps;
   std::function<void()> gossip_timer_callback;
   std::function<void()> tick_timer_callback;
   event_ptr gossip_timer;
