Do not close a connection as idle while a request waits in the kernel

Change: the kernel's buffer is looked at too. Why it works: what has arrived is then read and answered; what is still on its way has not been read, and may be repeated.

Test: "a connection on which a request has arrived is not closed as idle" in planned_stop_test.cc; it failed without the change (no response instead of 200 and 503).

--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -152,10 +152,19 @@
   return true;
 }
 
-// True if the caller has closed its sending side. Reads nothing.
-bool caller_has_left(const http_connection& connection) {
+// The result of recv() for the first byte that waits in the kernel. Reads nothing.
+ssize_t peek(const http_connection& connection) {
   char byte = 0;
-  return recv(bufferevent_getfd(connection.stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  return recv(bufferevent_getfd(connection.stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
+// True if the caller has closed its sending side.
+bool caller_has_left(const http_connection& connection) {
+  return peek(connection) == 0;
+}
+
+bool has_unread_input(const http_connection& connection) {
+  return peek(connection) > 0;
 }
 
 void pass_to_handler(http_connection& connection) {
@@ -410,7 +419,8 @@
     const bool idle = connection->exchange == nullptr && !connection->receiving_request &&
                       !connection->lingering && !connection->close_after_response &&
                       now - connection->idle_since >= min_idle_time &&
-                      evbuffer_get_length(bufferevent_get_input(connection->stream)) == 0;
+                      evbuffer_get_length(bufferevent_get_input(connection->stream)) == 0 &&
+                      !has_unread_input(*connection);
     if (idle) {
       close_connection(*connection);
     }
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -138,8 +138,9 @@
 // last call with `rejecting` true; such a call resets the number.
 std::uint64_t set_rejecting_connections(http_listener& listener, bool rejecting);
 
-// Closes the connections that have been idle for at least `min_idle_time`. On a connection
-// that has been idle for a shorter time, the caller's next request may already be in flight.
+// Closes the connections that have been idle for at least `min_idle_time`, and on which nothing
+// has arrived. On a connection that has been idle for a shorter time, the caller's next request may
+// already be in flight.
 void close_idle_connections(http_listener& listener, milliseconds min_idle_time);
 
 // Answers 503 to the requests of which a part has been read, and closes their connections.
--- a/router/testing/planned_stop_test.cc
+++ b/router/testing/planned_stop_test.cc
@@ -129,6 +129,34 @@
   }
 }
 
+// Guards against LOST: a connection that looked idle was closed with a request in the kernel.
+TEST_CASE("a connection on which a request has arrived is not closed as idle") {
+  stop_fixture fixture;
+  start_stop_fixture(fixture, milliseconds{8'000});
+  fixture.targets.script = {{plain_response}, {plain_response}};
+  raw_caller& caller = send_request(fixture, request_text("/once/"));
+  REQUIRE(answer_to(fixture, caller).status == 200);
+  caller.received.clear();
+  run_for(fixture.router.base.get(), milliseconds{400});
+  stop_router(fixture);
+  SUBCASE("while calls are taken: it is served") {
+    send_unseen(caller, request_text("/once/"));
+    advance_to(fixture, fixture.router.stop_steps.close_idle_after);
+    CHECK(answer_to(fixture, caller).status == 200);
+    CHECK(fixture.targets.requests.size() == 2);
+  }
+  SUBCASE("once calls are refused: it is told so") {
+    send_unseen(caller, request_text("/once/"));
+    advance_to(fixture, fixture.router.stop_steps.refuse_after);
+    CHECK(answer_to(fixture, caller).status == 503);
+    CHECK(fixture.targets.requests.size() == 1);
+  }
+  SUBCASE("nothing has arrived: it is closed") {
+    advance_to(fixture, fixture.router.stop_steps.close_idle_after);
+    CHECK(run_until(fixture.router.base.get(), [&caller]() { return caller.closed; }));
+  }
+}
+
 TEST_CASE("settings that are reloaded during a stop do not move its steps") {
   stop_fixture fixture;
   start_stop_fixture(fixture, milliseconds{8'000});
