Refuse calls that cannot end before a stopping router does

Callers saw (LOST, reported by other operators): calls that may run only once were passed on during a planned stop although they could not end in time. Here that needs a short grace: with 1 s, a call whose route takes 1.5 s was taken.

Cause: until refusals begin a stopping router took every call, whatever time it needs. Evidence and test: "a call that cannot end before the router does is refused at once" in planned_stop_test.cc; it failed without the change (passed on).

Change: the router knows how long each route's responses took at most in the last minute. While it is stopping, a call that may run only once and would take longer than is left is refused as not run, at once, with when to come back. Why it works: its caller repeats it at another router, which has the time. Calls that may be repeated are taken, since a cut costs them less than a refusal.

--- a/router/call_arrival.cc
+++ b/router/call_arrival.cc
@@ -4,6 +4,7 @@
 
 #include "platform/wire_headers.h"
 #include "router/call_internal.h"
+#include "router/planned_stop.h"
 
 namespace peridot {
 namespace {
@@ -73,6 +74,10 @@
         config_may_be_outdated(router) ? no_config_retry_after : milliseconds{0});
     return nullptr;
   }
+  if (ends_before_calls(router, *matched_route, current_time())) {
+    refuse_on_arrival(router, *exchange, request, refusal::stopping, min_retry_after);
+    return nullptr;
+  }
   const organisation* calling_organisation = nullptr;
   if (!matched_route->is_public && !config->organisations.empty()) {
     calling_organisation = find_organisation(*config, request.api_key);
--- a/router/call_end.cc
+++ b/router/call_end.cc
@@ -6,6 +6,7 @@
 #include "core/base/check.h"
 #include "net/log.h"
 #include "router/call_internal.h"
+#include "router/planned_stop.h"
 
 namespace peridot {
 namespace {
@@ -163,6 +164,8 @@
 
 void end_answered(active_call& call, int status) {
   ++call.router->call_metrics.answered_calls;
+  const instant now = current_time();
+  record_response_time(*call.router, call.matched_route->name, now - call.arrived_at, now);
   finish_call(call, call_outcome::answered, status, refusal::none);
 }
 
--- a/router/planned_stop.cc
+++ b/router/planned_stop.cc
@@ -13,6 +13,8 @@
 constexpr milliseconds min_idle_before_close{300};  // a request in transit arrives sooner
 // To read and refuse the requests that have arrived when the time is over.
 constexpr milliseconds final_read_time{20};
+// How long a response counts as one of lately.
+constexpr std::chrono::seconds response_time_memory{60};
 
 // Ends all calls, each with a final answer.
 void end_all_calls(router_state& router) {
@@ -47,6 +49,20 @@
 
 }  // namespace
 
+void record_response_time(router_state& router, const route_name& route, duration time,
+                          instant now) {
+  response_time& longest = router.longest_responses[route];
+  if (time >= longest.time || now - longest.at > response_time_memory) {
+    longest = {time, now};
+  }
+}
+
+bool ends_before_calls(const router_state& router, const route& call_route, instant now) {
+  auto found = router.longest_responses.find(call_route.name);
+  return router.stopping && !is_retryable(call_route) && found != router.longest_responses.end() &&
+         now + found->second.time > router.stop_started_at + router.stop_steps.end_after;
+}
+
 void begin_stop(router_state& router, instant now) {
   if (router.stopping) {
     return;
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -180,6 +180,11 @@
   instant witnesses_checked_at{};
 };
 
+struct response_time {
+  duration time{};
+  instant at{};
+};
+
 struct router_state {
   router_settings settings;
   std::string settings_path;
@@ -237,6 +242,7 @@
   bool ending = false;          // at the end of the shutdown: the loop is about to end
   instant stop_started_at{};
   stop_schedule stop_steps;
+  std::map<route_name, response_time> longest_responses;  // see record_response_time()
   std::function<void()> gossip_timer_callback;
   std::function<void()> tick_timer_callback;
   event_ptr gossip_timer;
--- a/router/testing/planned_stop_test.cc
+++ b/router/testing/planned_stop_test.cc
@@ -157,6 +157,40 @@
   }
 }
 
+// Guards against LOST, reported by other operators: calls that may run only once were passed on
+// although they could not end in time any more.
+TEST_CASE("a call that cannot end before the router does is refused at once") {
+  stop_fixture fixture;
+  start_stop_fixture(fixture, milliseconds{1'000});
+  fixture.targets.script = {{plain_response}, {plain_response}};
+  const instant now = current_time();
+  record_response_time(fixture.router, route_name{"/once/"}, milliseconds{1'500}, now);
+  record_response_time(fixture.router, route_name{"/idempotent/"}, milliseconds{1'500}, now);
+  SUBCASE("it may run only once: it is not passed on, and its caller may try elsewhere") {
+    stop_router(fixture);
+    raw_caller& caller = send_request(fixture, request_text("/once/"));
+    CHECK(answer_to(fixture, caller).status == 503);
+    CHECK(caller.received.find("Retry-After") != std::string::npos);
+    CHECK(fixture.targets.requests.empty());
+  }
+  SUBCASE("its route has been faster of late") {
+    record_response_time(fixture.router, route_name{"/once/"}, milliseconds{60},
+                         now + std::chrono::minutes{2});
+    stop_router(fixture);
+    raw_caller& caller = send_request(fixture, request_text("/once/"));
+    CHECK(answer_to(fixture, caller).status == 200);
+  }
+  SUBCASE("it may be repeated: it is taken") {
+    stop_router(fixture);
+    raw_caller& caller = send_request(fixture, request_text("/idempotent/"));
+    CHECK(answer_to(fixture, caller).status == 200);
+  }
+  SUBCASE("the router is not stopping: it is taken") {
+    raw_caller& caller = send_request(fixture, request_text("/once/"));
+    CHECK(answer_to(fixture, caller).status == 200);
+  }
+}
+
 TEST_CASE("settings that are reloaded during a stop do not move its steps") {
   stop_fixture fixture;
   start_stop_fixture(fixture, milliseconds{8'000});
