Bound what all calls together hold of responses and request bodies

Cause: limits of each call only (256 kB of a plain response, 1 MB of an event, 64 kB for a slow caller), what was held back stayed in memory once it was forwarded, and a request body existed three times.

Change: max_response_total (16 MB) for what is held and what callers have not read; beyond it responses are forwarded as they arrive, slow callers are waited for sooner, and endless events are ended. Request bodies are shared with the connection's buffer. Why it works: every byte of a response that the router keeps is counted, and above the bound none is added that cannot be forwarded.

--- a/core/settings/settings.cc
+++ b/core/settings/settings.cc
@@ -58,6 +58,8 @@
                settings.max_connections);
   read_integer(reader, "max_body_total", presence::optional, body_bytes_range,
                settings.max_body_total);
+  read_integer(reader, "max_response_total", presence::optional, body_bytes_range,
+               settings.max_response_total);
   read_integer(reader, "stream_buffer_bytes", presence::optional, buffer_bytes_range,
                settings.stream_buffer_bytes);
 }
--- a/core/settings/settings.h
+++ b/core/settings/settings.h
@@ -56,6 +56,7 @@
   double crossing_kilobyte_ms = 1;
   std::size_t max_connections = 3'000;         // callers' connections
   std::size_t max_body_total = 24 << 20;       // bytes of buffered request bodies, over all calls
+  std::size_t max_response_total = 16 << 20;   // bytes of responses held at once, over all calls
   std::size_t stream_buffer_bytes = 64 << 10;  // per slow caller; then back pressure
   std::string log_level = "info";              // debug, info, warn, error
 };
--- a/net/chunked_decoder.cc
+++ b/net/chunked_decoder.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string_view>
 
+#include "net/move_bytes.h"
+
 namespace peridot {
 namespace {
 
@@ -65,9 +67,7 @@
 chunk_status decode_data(chunked_decoder& decoder, evbuffer* input, std::string& output) {
   const std::size_t count = static_cast<std::size_t>(std::min<std::uint64_t>(
       decoder.chunk_bytes_left, static_cast<std::uint64_t>(evbuffer_get_length(input))));
-  const std::size_t old_size = output.size();
-  output.resize(old_size + count);
-  evbuffer_remove(input, output.data() + old_size, count);
+  move_bytes(input, count, output);
   decoder.chunk_bytes_left -= count;
   if (decoder.chunk_bytes_left > 0) {
     return chunk_status::incomplete;
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -22,6 +22,7 @@
 // Servers send none to a few: 100 Continue, 102 Processing, 103 Early Hints.
 constexpr int max_interim_responses = 16;
 constexpr std::size_t max_idle_connections_per_address = 64;
+constexpr std::size_t max_copied_body_bytes = 16 << 10;  // one write with the head
 // Detects servers that no longer acknowledge data.
 constexpr unsigned int tcp_user_timeout_ms = 3'000;
 
@@ -367,16 +368,41 @@
   return newest;
 }
 
+const std::string& body_of(const http_request& request) {
+  return request.shared_body != nullptr ? *request.shared_body : request.body;
+}
+
+bool is_body_copied(const http_request& request) {
+  return request.shared_body == nullptr || request.shared_body->size() <= max_copied_body_bytes;
+}
+
+// The head, and the body if it is to be copied.
 std::string serialize_request(const http_request& request) {
   std::string text = request.method + " " + request.request_target + " HTTP/1.1\r\n";
   for (const http_header& header : request.headers) {
     text += header.name + ": " + header.value + "\r\n";
   }
-  if (request.has_body || !request.body.empty()) {
-    text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  if (request.has_body || !body_of(request).empty()) {
+    text += "Content-Length: " + std::to_string(body_of(request).size()) + "\r\n";
   }
   text += "\r\n";
-  return text + request.body;
+  if (is_body_copied(request)) {
+    text += body_of(request);
+  }
+  return text;
+}
+
+void release_body(const void*, size_t, void* owner) {
+  delete static_cast<std::shared_ptr<const std::string>*>(owner);
+}
+
+// Writes the body, after what serialize_request() returns, unless that holds it.
+void write_shared_body(client_connection& connection, const http_request& request) {
+  if (!is_body_copied(request)) {
+    evbuffer_add_reference(bufferevent_get_output(connection.stream), request.shared_body->data(),
+                           request.shared_body->size(), release_body,
+                           new std::shared_ptr<const std::string>(request.shared_body));
+  }
 }
 
 }  // namespace
@@ -411,12 +437,14 @@
     handle->reused_connection = true;
     handle->may_have_sent = true;
     write_now(connection->stream, serialize_request(handle->request));
+    write_shared_body(*connection, handle->request);
     set_timeout(*connection, handle->request.idle_timeout);
     return handle;
   }
   set_timeout(*connection, handle->request.connect_timeout);
   const std::string text = serialize_request(handle->request);
   bufferevent_write(connection->stream, text.data(), text.size());  // sent once connected
+  write_shared_body(*connection, handle->request);
   bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
   if (!start_connect(*connection)) {
     // libevent reports most connect failures by an event, but may report none if
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -50,6 +50,8 @@
   std::string request_target = "/";  // path and query, as in the request line
   std::vector<http_header> headers;  // with Host; without Content-Length and hop-by-hop headers
   std::string body;
+  // In place of `body`, and not copied: kept alive until it has been written.
+  std::shared_ptr<const std::string> shared_body;
   bool has_body = false;  // sends Content-Length even if the body is empty
   // A response with another value in this header than `echo_value` is skipped; one without
   // the header is accepted. Empty: not checked.
--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -42,6 +42,13 @@
              sizeof(no_lingering));
 }
 
+// Follows what waits in the connection's output buffer.
+void on_output_changed(evbuffer*, const evbuffer_cb_info* change, void* argument) {
+  http_listener& listener = *static_cast<http_listener*>(argument);
+  listener.unsent_bytes += change->n_added;
+  listener.unsent_bytes -= change->n_deleted;
+}
+
 // Closes and frees the connection. Calls on_disconnect of an exchange in progress.
 void close_connection(http_connection& connection) {
   // An orderly close would make an incomplete body look complete. Once the connection is
@@ -51,6 +58,9 @@
   }
   std::shared_ptr<http_exchange> exchange = std::move(connection.exchange);
   release_body(connection);
+  evbuffer* output = bufferevent_get_output(connection.stream);
+  evbuffer_remove_cb(output, on_output_changed, connection.listener);
+  connection.listener->unsent_bytes -= evbuffer_get_length(output);
   bufferevent_free(connection.stream);
   connection.listener->connections.erase(&connection);
   delete &connection;
@@ -298,6 +308,7 @@
   connection->remote_address = std::string(ip_text) + ":" + std::to_string(ntohs(address.sin_port));
   connection->waited_in_backlog = listener.backlogged;
   listener.connections.insert(connection);
+  evbuffer_add_cb(bufferevent_get_output(connection->stream), on_output_changed, &listener);
   bufferevent_setcb(connection->stream, on_readable, on_written, on_event, connection);
   bufferevent_setwatermark(connection->stream, EV_READ, 0, max_request_input_bytes);
   wait_for_request(*connection);
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -107,6 +107,7 @@
   bool backlogged = false;  // the newest loop iteration accepted only a part of them
   std::set<http_connection*> connections;
   std::size_t total_body_bytes = 0;
+  std::size_t unsent_bytes = 0;  // of responses, in the output buffers of all connections
   std::uint64_t next_exchange_id = 1;
   bool close_after_response = false;   // for all connections
   bool rejecting_connections = false;  // closes new connections
--- a/net/http_message.cc
+++ b/net/http_message.cc
@@ -6,6 +6,8 @@
 #include <cctype>
 #include <cstdlib>
 
+#include "net/move_bytes.h"
+
 namespace peridot {
 namespace {
 
@@ -170,9 +172,7 @@
 void consume_sized_body(http_parser& parser, evbuffer* input, std::size_t available) {
   const std::size_t count = static_cast<std::size_t>(
       std::min<std::uint64_t>(parser.body_bytes_left, static_cast<std::uint64_t>(available)));
-  const std::size_t old_size = parser.body.size();
-  parser.body.resize(old_size + count);
-  evbuffer_remove(input, parser.body.data() + old_size, count);
+  move_bytes(input, count, parser.body);
   parser.body_bytes_left -= count;
   parser.message_complete = parser.body_bytes_left == 0;
 }
@@ -302,9 +302,7 @@
       case body_framing::chunked:
         return consume_chunked_body(parser, input);
       case body_framing::until_close: {
-        const std::size_t old_size = parser.body.size();
-        parser.body.resize(old_size + available);
-        evbuffer_remove(input, parser.body.data() + old_size, available);
+        move_bytes(input, available, parser.body);
         break;
       }
     }
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -20,6 +20,9 @@
 constexpr milliseconds max_idle_if_not_retryable{600};
 // Longer responses are forwarded as they arrive.
 constexpr std::size_t max_buffered_response_bytes = 256 << 10;
+// While the process is short of memory. Events of engines are shorter by far.
+constexpr std::size_t short_stream_buffer_bytes = 8 << 10;
+constexpr std::size_t max_short_event_bytes = 16 << 10;
 // Factors of the inactivity timeouts after which a call is retried. Until the response of a
 // non-streaming route is complete, or until the first event of a stream: factor * latency
 // objective + predicted time to the first token, at least min_inactivity_timeout. Between two
@@ -96,9 +99,26 @@
   }
 }
 
+// True if all calls together hold more of their responses than the process has memory for.
+bool is_short_of_memory(const router_state& router) {
+  return router.held_response_bytes + router.caller_listener->unsent_bytes >
+         router.settings.max_response_total;
+}
+
+// Counts what the current attempt holds of its response.
+void count_held_bytes(active_call& call) {
+  target_attempt& current = *call.current_attempt;
+  const std::size_t held = current.buffered_body.capacity() + current.splitter.pending.capacity();
+  call.router->held_response_bytes += held;
+  call.router->held_response_bytes -= std::exchange(current.held_bytes, held);
+}
+
 void pause_reading_if_caller_slow(active_call& call) {
-  if (!call.reading_paused &&
-      unsent_bytes(*call.exchange) > call.router->settings.stream_buffer_bytes) {
+  const std::size_t limit =
+      is_short_of_memory(*call.router)
+          ? std::min(short_stream_buffer_bytes, call.router->settings.stream_buffer_bytes)
+          : call.router->settings.stream_buffer_bytes;
+  if (!call.reading_paused && unsent_bytes(*call.exchange) > limit) {
     call.reading_paused = true;
     pause_call(*call.current_attempt->target_call);
   }
@@ -260,7 +280,10 @@
             forward_event(call, event, id);
           }
         });
-    if (!within_limit || current.events_received > max_events_per_response) {
+    count_held_bytes(call);
+    const bool is_too_long =
+        current.splitter.pending.size() > max_short_event_bytes && is_short_of_memory(router);
+    if (!within_limit || is_too_long || current.events_received > max_events_per_response) {
       end_attempt(call, call_result::incomplete_response);
       if (call.response_started) {
         end_with_aborted_response(call, refusal::target_malformed);
@@ -272,7 +295,9 @@
   }
   if (!current.forwarding_unbuffered) {
     current.buffered_body.append(data);
-    if (current.buffered_body.size() <= max_buffered_response_bytes) {
+    count_held_bytes(call);
+    if (current.buffered_body.size() <= max_buffered_response_bytes &&
+        !is_short_of_memory(router)) {
       return;
     }
     current.forwarding_unbuffered = true;
@@ -280,9 +305,11 @@
     start_caller_response(
         call, length_known ? std::optional<std::uint64_t>(current.response_head.content_length)
                            : std::nullopt);
-    data = current.buffered_body;
+    send_response_data(*call.exchange, std::exchange(current.buffered_body, {}));
+    count_held_bytes(call);
+  } else {
+    send_response_data(*call.exchange, data);
   }
-  send_response_data(*call.exchange, data);
   pause_reading_if_caller_slow(call);
 }
 
@@ -408,7 +435,7 @@
   result.method = head.method;
   result.request_target = head.request_target;
   result.headers = platform::request_headers_for_target(outgoing);
-  result.body = call.exchange->body;
+  result.shared_body = std::shared_ptr<const std::string>(call.exchange, &call.exchange->body);
   result.has_body =
       head.framing != body_framing::none || has_header(head.headers, "Content-Length");
   result.echo_header = std::string(platform::call_id_header());
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -431,6 +431,7 @@
   router_state& router = *call.router;
   PERIDOT_CHECK(call.current_attempt != nullptr, "end_attempt() without a current attempt");
   std::unique_ptr<target_attempt> ended = std::move(call.current_attempt);
+  call.router->held_response_bytes -= ended->held_bytes;
   call.inactivity_timer.reset();
   call.reading_paused = false;
   const instant now = current_time();
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -49,6 +49,7 @@
   message_head response_head;
   // Body of a non-streaming response, until it is complete or exceeds the buffer limit.
   std::string buffered_body;
+  std::size_t held_bytes = 0;  // of the response, as counted in router_state::held_response_bytes
   // The body of a non-streaming response exceeded the limit: it is forwarded as it arrives.
   bool forwarding_unbuffered = false;
   bool is_stream = false;
@@ -232,6 +233,8 @@
   std::map<router_address, instant> peer_ahead_since;
 
   std::unordered_map<std::uint64_t, std::unique_ptr<active_call>> calls;
+  // Parts of responses that calls hold back: plain ones that are not complete, and events.
+  std::size_t held_response_bytes = 0;
   metrics call_metrics;
   std::minstd_rand random;
   instant started_at{};
