--- a/router/testing/response_end_test.cc
+++ b/router/testing/response_end_test.cc
@@ -230,3 +230,40 @@
     CHECK(view.body == whole);
   }
 }
+
+// Guards against MIXED and ORDER, reported by other operators: a response whose head stopped was
+// told as a whole 200 with an empty or short body.
+TEST_CASE("a response that stops anywhere in its head is a failure") {
+  const std::string body = "0123456789";
+  for (const std::string& framing :
+       {std::string(), "Content-Length: " + std::to_string(body.size()) + "\r\n",
+        std::string("Transfer-Encoding: chunked\r\n")}) {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + framing + "X-Last: 1\r\n\r\n";
+    for (const connection_end end : {connection_end::closed, connection_end::reset}) {
+      // A step of 3 meets each place within and between CR, LF and the lines.
+      for (std::size_t length = 1; length < head.size(); length += 3) {
+        CAPTURE(length);
+        CAPTURE(framing);
+        CAPTURE(static_cast<int>(end));
+        router_fixture fixture;
+        start(fixture, 2);
+        fixture.targets.script = {{head.substr(0, length), end},
+                                  {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound"}};
+        const std::string path = length % 2 == 0 ? "/once/" : "/stream/";
+        const caller_view view = call(fixture, path);
+        CHECK(view.status == 502);
+        CHECK(view.complete);
+        CHECK(fixture.targets.requests.size() == 1);
+        CHECK(fixture.router.call_metrics.answered_calls == 0);
+      }
+      router_fixture fixture;
+      start(fixture, 2);
+      fixture.targets.script = {{head.substr(0, head.size() - 1), end},
+                                {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound"}};
+      const caller_view view = call(fixture, "/idempotent/");
+      CHECK(view.status == 200);
+      CHECK(view.body == "sound");
+    }
+  }
+}
