Tell routers that are behind of removals from before a peer started

A router that relied on it or asked it for changes was told the later ones only, took itself for up to date, and kept the target or the evacuation.

To a request from before it, it adds hashes of the keys that are left, so that the others are removed; changes that it passes on by itself begin there. Until expired entries had time to reappear after its start, it says of no missing entry that its target has left, and of no removal that it is final: it may have missed an outage. Why it works: what is neither in the answer nor in the list was removed.

--- a/router/peer_items.cc
+++ b/router/peer_items.cc
@@ -2,8 +2,10 @@
 // them, and a router that is behind requests what it lacks.
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
+#include "core/base/stable_hash.h"
 #include "core/fleet/delegates.h"
 #include "core/fleet/peer_messages.h"
 #include "net/log.h"
@@ -42,11 +44,13 @@
 
 void set_reply_state(const router_state& router, const known_revisions& known,
                      wire::items_reply& reply) {
+  const instant now = current_time();
   const store_revision as_of = std::min(known.operator_items, known.target_items);
   reply.set_as_of(as_of.number);
   reply.set_as_of_epoch(as_of.epoch);
   reply.set_store_disturbed(
-      platform::was_unavailable_within(router.store, router.settings.store_touch, current_time()));
+      platform::was_unavailable_within(router.store, router.settings.store_touch, now) ||
+      platform::may_have_missed_outage(router.store, now));
   const std::uint64_t epoch = std::max(known.operator_items.epoch, known.target_items.epoch);
   reply.set_to_epoch(epoch);
   reply.set_to_operator_revision(known.operator_items.epoch == epoch ? known.operator_items.number
@@ -69,11 +73,30 @@
   add_items(router, items, update);
   set_reply_state(router, to, update);
   update.set_is_update(true);
-  update.set_from_operator_revision(from.operator_items.number);
-  update.set_from_target_revision(from.target_items.number);
+  // What was removed before the newest snapshot may be missing here.
+  const store_revision& snapshot = router.store.snapshot_revision;
+  const bool same_epoch = snapshot.epoch == to.target_items.epoch;
+  const std::uint64_t lowest = same_epoch ? snapshot.number : 0;
+  update.set_from_operator_revision(std::max(from.operator_items.number, lowest));
+  update.set_from_target_revision(std::max(from.target_items.number, lowest));
   return message;
 }
 
+// Adds the keys held here that the reply lists by their hashes.
+void add_listed_keys(const router_state& router, const wire::items_reply& reply,
+                     std::set<std::string>& keys) {
+  if (reply.present_keys_size() == 0) {
+    return;
+  }
+  const std::unordered_set<std::uint64_t> hashes(reply.present_keys().begin(),
+                                                 reply.present_keys().end());
+  for (const std::pair<const std::string, platform::store_item>& entry : router.store.items) {
+    if (hashes.contains(stable_hash(entry.first))) {
+      keys.insert(entry.first);
+    }
+  }
+}
+
 // True if the reply leaves no gap after what this router knows.
 bool continues_known(const router_state& router, const wire::items_reply& reply) {
   if (!reply.is_update()) {
@@ -150,18 +173,26 @@
 
 void on_items_request(router_state& router, const router_identity& from,
                       const wire::items_request& request) {
-  bool complete = false;
-  const std::vector<platform::store_item> items = platform::items_after(
-      router.store, {request.after_epoch(), request.after_revision()}, complete);
-  complete = complete && router.store.loaded_prefixes.contains(platform::operator_prefix) &&
-             router.store.loaded_prefixes.contains(platform::target_prefix);
+  const store_revision after{request.after_epoch(), request.after_revision()};
+  bool is_snapshot = false;
+  const std::vector<platform::store_item> items =
+      platform::items_after(router.store, after, is_snapshot);
+  const bool is_loaded = router.store.loaded_prefixes.contains(platform::operator_prefix) &&
+                         router.store.loaded_prefixes.contains(platform::target_prefix);
+  const bool lists_keys =
+      is_loaded && !is_snapshot && platform::may_lack_removals_after(router.store, after);
   outgoing_message message;
   message.to = from.address;
   message.to_incarnation = from.incarnation;
   wire::items_reply& reply = *message.message.mutable_items_reply();
   set_reply_state(router, revisions_known(router), reply);
-  reply.set_complete(complete);
+  reply.set_complete(is_loaded && (is_snapshot || lists_keys));
   add_items(router, items, reply);
+  if (lists_keys) {
+    for (const std::uint64_t hash : platform::live_key_hashes(router.store)) {
+      reply.add_present_keys(hash);
+    }
+  }
   send_message(*router.peer_mesh, message);
 }
 
@@ -180,6 +211,7 @@
         .push_back({item.key(), item.value(), {item.epoch(), item.revision()}, item.removed()});
     present_keys.insert(item.key());
   }
+  add_listed_keys(router, reply, present_keys);
   const bool continues = continues_known(router, reply);
   log_line(log_part::config, log_level::info,
            "Items from a peer. peer=" + from.address.value +
--- a/router/testing/store_items_test.cc
+++ b/router/testing/store_items_test.cc
@@ -148,3 +148,67 @@
     stop_store_client(router->store_client);
   }
 }
+
+// Guards against the other side of review/10: a router that started after a removal has no
+// tombstone of it, so one that relied on it kept the target, and counted as up to date after the
+// next change.
+TEST_CASE("a router that is behind learns of removals from before its peer started") {
+  fleet_fixture fixture;
+  start_store(fixture);
+  standin::set_item(*fixture.platform, "servers/i-1", entry_in_zone_a);
+  standin::set_item(*fixture.platform, "op/evacuate/zone-b", "{}");
+  standin::set_item(*fixture.platform, "servers/i-2", entry_in_zone_a);
+  router_state behind;
+  start_router(fixture, behind);
+  wait_until_read(fixture, behind);
+  stop_store_client(behind.store_client);
+  standin::remove_item(*fixture.platform, "servers/i-2");
+  standin::remove_item(*fixture.platform, "op/evacuate/zone-b");
+  router_state started;
+  start_router(fixture, started);
+  wait_until_read(fixture, started);
+  const auto change_store = [&fixture, &started]() {
+    standin::set_item(*fixture.platform, "servers/i-3", entry_in_zone_a);
+    REQUIRE(testing::run_until(fixture.base.get(),
+                               [&started]() { return knows_target(started, "i-3"); }));
+  };
+  const auto check_up_to_date = [&behind]() {
+    CHECK(knows_target(behind, "i-1"));
+    CHECK_FALSE(knows_target(behind, "i-2"));
+    CHECK(knows_target(behind, "i-3"));
+    CHECK(behind.store.targets.evacuated.empty());
+  };
+  SUBCASE("it may have missed an outage: the target is used for a while, then dropped") {
+    change_store();
+    report(fixture, started, behind);
+    CHECK(knows_target(behind, "i-3"));
+    CHECK(knows_target(behind, "i-2"));
+    testing::run_for(fixture.base.get(), expiry_grace);
+    remove_expired_targets(behind.store, current_time());
+    check_up_to_date();
+  }
+  SUBCASE("it has read the store for long enough: the target is dropped at once") {
+    testing::run_for(fixture.base.get(), expiry_grace);
+    change_store();
+    report(fixture, started, behind);
+    check_up_to_date();
+  }
+  SUBCASE("changes that it passes on by itself leave a gap, which is closed by a request") {
+    testing::run_for(fixture.base.get(), expiry_grace);
+    started.membership.uses_delegates = true;
+    started.digests.plan.subscribers = {behind.self.address};
+    pass_on_items(started);
+    change_store();
+    pass_on_items(started);
+    CHECK(testing::run_until(fixture.base.get(),
+                             [&behind]() { return knows_target(behind, "i-3"); }));
+    CHECK(knows_target(behind, "i-2"));
+    CHECK(revisions_known(behind).target_items < revisions_known(started).target_items);
+    report(fixture, started, behind);
+    check_up_to_date();
+    CHECK(revisions_known(behind).target_items == revisions_known(started).target_items);
+  }
+  for (router_state* router : {&behind, &started}) {
+    stop_store_client(router->store_client);
+  }
+}
