--- a/router/testing/store_items_test.cc
+++ b/router/testing/store_items_test.cc
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr const char* entry_in_zone_a =
-    R"({"service":"engines","address":"10.0.0.1:80","zone":"zone-a","slots":1,"state":"ready"})";
+    R"({"service":"engines","address":"10.0.0.1:80","zone":"zone-a","version":"v1","slots":1,)"
+    R"("state":"ready","cold_left_ms":0,"call_seq":1})";
 
 // How long a router that is behind a peer waits before it requests items, and then some.
 constexpr milliseconds request_time{1'500};
--- a/scripts/process_tests/endless_bytes.sh
+++ b/scripts/process_tests/endless_bytes.sh
@@ -30,7 +30,7 @@
 port=21000
 for mode in body head event held slow upload; do
   for n in $(seq 0 $((targets - 1))); do
-    put_store_item "servers/i-endless-$n" '{"service":"faulty","address":"127.0.0.1:'$((port + n))'","zone":"zone-a","slots":400,"state":"ready","cold_left_ms":0,"call_seq":1,"born":'$((1700000000000 + port))'}'
+    put_store_item "servers/i-endless-$n" '{"service":"faulty","address":"127.0.0.1:'$((port + n))'","zone":"zone-a","version":"v1","slots":400,"state":"ready","cold_left_ms":0,"call_seq":1,"born":'$((1700000000000 + port))'}'
   done
   start_router 1
   wait_for "router 1" is_ready 1
--- a/scripts/process_tests/store_outage.sh
+++ b/scripts/process_tests/store_outage.sh
@@ -5,7 +5,7 @@
 source "$(dirname "$0")/lib.sh"
 start_fleet 3
 admin=http://127.0.0.1:19000/admin
-put_store_item servers/i-1 '{"service":"engines","address":"127.0.0.1:19100","zone":"zone-a","slots":64,"state":"draining","cold_left_ms":0,"call_seq":2}'
+put_store_item servers/i-1 '{"service":"engines","address":"127.0.0.1:19100","zone":"zone-a","version":"v1","slots":64,"state":"draining","cold_left_ms":0,"call_seq":2}'
 put_store_item op/evacuate/zone-b '{}'
 sleep 2
 for mode in silent busy reset; do
--- a/scripts/process_tests/store_restored.sh
+++ b/scripts/process_tests/store_restored.sh
@@ -5,7 +5,7 @@
 source "$(dirname "$0")/lib.sh"
 admin=http://127.0.0.1:19000/admin
 entry() {
-  echo '{"service":"'"$2"'","address":"127.0.0.1:'"$((19099 + $1))"'","zone":"'"$3"'","slots":64,"state":"'"$4"'","cold_left_ms":0,"call_seq":1,"born":1700000000000}'
+  echo '{"service":"'"$2"'","address":"127.0.0.1:'"$((19099 + $1))"'","zone":"'"$3"'","version":"v1","slots":64,"state":"'"$4"'","cold_left_ms":0,"call_seq":1,"born":1700000000000}'
 }
 # config VERSION PREFIX: the sample configuration with another version and path of bookings.
 config() {
