Take the limit of a head when its request begins

Cause: the limit of the next request was taken when the one before ended. Change: it is taken with the first byte of the request. Why it works: the version in force then decides, as for new connections.

Test: "the limit of a head is the one in force when the request begins" failed before (the longer head was rejected).

--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -137,7 +137,6 @@
   connection.receiving_request = false;
   connection.idle_since = current_time();
   reset_parser(connection.parser, message_kind::request);
-  connection.parser.max_head_bytes = connection.listener->current_limits().max_header_bytes;
   set_timeout(connection, connection.listener->current_limits().idle_timeout);
 }
 
@@ -214,6 +213,7 @@
     }
     connection.receiving_request = true;
     connection.first_byte_at = current_time();
+    connection.parser.max_head_bytes = connection.listener->current_limits().max_header_bytes;
     set_timeout(connection, connection.listener->current_limits().header_timeout);
   }
   const bool head_was_complete = connection.parser.head_complete;
--- a/net/testing/http_client_listener_test.cc
+++ b/net/testing/http_client_listener_test.cc
@@ -181,6 +181,31 @@
   }
 }
 
+// Guards against DENIED (second review): the limit of an idle connection was the one in force when
+// its last request ended, so that proper requests got 431 after the limit had been raised.
+TEST_CASE("listener: the limit of a head is the one in force when the request begins") {
+  listener_fixture fixture;
+  fixture.limits.max_header_bytes = 200;
+  start_fixture(fixture);
+  testing::raw_caller caller;
+  testing::connect_caller(fixture.base.get(), caller, fixture.port);
+  testing::send_raw(caller, get_request);
+  REQUIRE(wait_for_exchanges(fixture, 1));
+  send_response(*fixture.exchanges[0], 200, {}, "first");
+  REQUIRE(wait_for_text(fixture, caller, "first"));
+  const std::string long_request =
+      "GET /a HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(400, 'a') + "\r\n\r\n";
+  SUBCASE("raised: a longer head is accepted on the open connection") {
+    fixture.limits.max_header_bytes = 600;
+    testing::send_raw(caller, long_request);
+    CHECK(wait_for_exchanges(fixture, 2));
+  }
+  SUBCASE("not raised: it is rejected") {
+    testing::send_raw(caller, long_request);
+    CHECK(wait_for_text(fixture, caller, "431"));
+  }
+}
+
 TEST_CASE("listener: connections in the backlog get a response when the listener stops accepting") {
   // Guards against a reset of connections in the backlog: closing the listening socket resets
   // them, although their requests may already be sent. Found by planned_stop.sh under load.
