Do not pass a request on whose caller has left before it is read

Cause: a close behind a request is read only in the next iteration of the event loop. It was looked for before that only on connections that had waited in the listener's own backlog, not for what had waited in the kernel. Change: it is looked for before each request. Why it works: whatever the router did meanwhile, what the kernel knows of the caller is asked first.

Test: "a request whose caller has left before it is read is not passed on" failed before, on a new and on an open connection.

--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -178,12 +178,13 @@
 
 void pass_to_handler(http_connection& connection) {
   http_listener& listener = *connection.listener;
-  if (connection.waited_in_backlog && caller_has_left(connection)) {
+  // The request may have waited in the kernel for longer than its caller: in the backlog, or while
+  // this process got no time.
+  if (caller_has_left(connection)) {
     ++listener.callers_left_unread;
     close_connection(connection);
     return;
   }
-  connection.waited_in_backlog = false;
   std::shared_ptr<http_exchange> exchange = std::make_shared<http_exchange>();
   exchange->id = listener.next_exchange_id++;
   exchange->head = std::move(connection.parser.head);
@@ -306,7 +307,6 @@
   char ip_text[INET_ADDRSTRLEN] = "";
   inet_ntop(AF_INET, &address.sin_addr, ip_text, sizeof(ip_text));
   connection->remote_address = std::string(ip_text) + ":" + std::to_string(ntohs(address.sin_port));
-  connection->waited_in_backlog = listener.backlogged;
   listener.connections.insert(connection);
   evbuffer_add_cb(bufferevent_get_output(connection->stream), on_output_changed, &listener);
   bufferevent_setcb(connection->stream, on_readable, on_written, on_event, connection);
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -88,9 +88,8 @@
   std::string remote_address;
   instant first_byte_at{};
   instant idle_since{};
-  bool receiving_request = false;     // a request has started to arrive
-  bool close_after_response = false;  // after the current response
-  bool waited_in_backlog = false;     // the caller may have left before its first request was read
+  bool receiving_request = false;          // a request has started to arrive
+  bool close_after_response = false;       // after the current response
   bool body_ends_with_connection = false;  // the current response has neither length nor chunks
   bool lingering = false;                  // sending side is shut down; input is discarded
   std::string pending_output;              // head and body bytes that flush_output() writes next
--- a/net/testing/http_client_listener_test.cc
+++ b/net/testing/http_client_listener_test.cc
@@ -206,6 +206,43 @@
   }
 }
 
+// Guards against GONE (brazos-tread-grown, scale-1): a router that got no time for some seconds
+// passed calls on whose callers had left meanwhile.
+TEST_CASE("listener: a request whose caller has left before it is read is not passed on") {
+  listener_fixture fixture;
+  start_fixture(fixture);
+  SUBCASE("on a new connection") {
+    const int socket = connect_socket(fixture.port);
+    REQUIRE(::send(socket, get_request.data(), get_request.size(), 0) ==
+            static_cast<ssize_t>(get_request.size()));
+    ::close(socket);
+    testing::run_for(fixture.base.get(), std::chrono::milliseconds{50});
+    CHECK(fixture.exchanges.empty());
+    CHECK(fixture.listener->connections.empty());
+  }
+  SUBCASE("on an open connection") {
+    testing::raw_caller caller;
+    testing::connect_caller(fixture.base.get(), caller, fixture.port);
+    testing::send_raw(caller, get_request);
+    REQUIRE(wait_for_exchanges(fixture, 1));
+    send_response(*fixture.exchanges[0], 200, {}, "first");
+    REQUIRE(wait_for_text(fixture, caller, "first"));
+    const evutil_socket_t socket = bufferevent_getfd(caller.connection);
+    REQUIRE(::send(socket, get_request.data(), get_request.size(), 0) ==
+            static_cast<ssize_t>(get_request.size()));
+    testing::shut_down(caller);
+    testing::run_for(fixture.base.get(), std::chrono::milliseconds{50});
+    CHECK(fixture.exchanges.size() == 1);
+  }
+  SUBCASE("a caller that stays is served") {
+    const int socket = connect_socket(fixture.port);
+    REQUIRE(::send(socket, get_request.data(), get_request.size(), 0) ==
+            static_cast<ssize_t>(get_request.size()));
+    CHECK(wait_for_exchanges(fixture, 1));
+    ::close(socket);
+  }
+}
+
 TEST_CASE("listener: connections in the backlog get a response when the listener stops accepting") {
   // Guards against a reset of connections in the backlog: closing the listening socket resets
   // them, although their requests may already be sent. Found by planned_stop.sh under load.
