--- a/router/testing/invalid_status_test.cc
+++ b/router/testing/invalid_status_test.cc
@@ -43,8 +43,8 @@
         CAPTURE(static_cast<int>(end));
         const std::string header_lines =
             std::string(headers).empty() ? "" : headers + length + "\r\n";
-        const std::string bytes = std::string("HTTP/1.1 ") + status + " Status\r\n" + header_lines +
-                                  "\r\n" + hidden_response;
+        std::string bytes = std::string("HTTP/1.1 ") + status + " Status\r\n" + header_lines;
+        bytes += "\r\n" + hidden_response;
         const told once = call_with_first_response("/once/", bytes, end);
         CHECK(once.status == 502);
         CHECK(once.body.find("hidden") == std::string::npos);
