Forget the response times of routes that are gone

A router kept the longest response time of each route that it had ever served, and routes come and go with the configuration. Found by reading; the test failed to hold before (100 routes kept for ever).

--- a/router/planned_stop.cc
+++ b/router/planned_stop.cc
@@ -51,15 +51,26 @@
 
 void record_response_time(router_state& router, const route_name& route, duration time,
                           instant now) {
-  response_time& longest = router.longest_responses[route];
-  if (time >= longest.time || now - longest.at > response_time_memory) {
-    longest = {time, now};
+  const auto is_old = [now](const response_time& longest) {
+    return now - longest.at > response_time_memory;
+  };
+  auto inserted = router.longest_responses.try_emplace(route, response_time{time, now});
+  if (inserted.second) {  // routes come and go
+    std::erase_if(router.longest_responses,
+                  [&is_old](const std::pair<const route_name, response_time>& entry) {
+                    return is_old(entry.second);
+                  });
+  } else if (time >= inserted.first->second.time || is_old(inserted.first->second)) {
+    inserted.first->second = {time, now};
   }
 }
 
 bool ends_before_calls(const router_state& router, const route& call_route, instant now) {
+  if (!router.stopping || is_retryable(call_route)) {
+    return false;
+  }
   auto found = router.longest_responses.find(call_route.name);
-  return router.stopping && !is_retryable(call_route) && found != router.longest_responses.end() &&
+  return found != router.longest_responses.end() &&
          now + found->second.time > router.stop_started_at + router.stop_steps.end_after;
 }
 
--- a/router/testing/planned_stop_test.cc
+++ b/router/testing/planned_stop_test.cc
@@ -191,6 +191,16 @@
   }
 }
 
+TEST_CASE("times of routes that are gone are forgotten") {
+  router_state router;
+  const instant now = current_time();
+  for (int number = 0; number < 100; ++number) {
+    record_response_time(router, route_name{std::to_string(number)}, milliseconds{5}, now);
+  }
+  record_response_time(router, route_name{"new"}, milliseconds{5}, now + std::chrono::minutes{2});
+  CHECK(router.longest_responses.size() == 1);
+}
+
 TEST_CASE("settings that are reloaded during a stop do not move its steps") {
   stop_fixture fixture;
   start_stop_fixture(fixture, milliseconds{8'000});
