Let the router own the timer that ends its loop

Cause: the last timer of a planned stop was a one-time event, whose function is not freed if the loop ends before it fires, as in planned_stop_test.cc. It is now an event of the router, as its other timers are. After: no leak in planned_stop_test.cc, early_response_test.cc and store_items_test.cc under the sanitizers.

--- a/router/planned_stop.cc
+++ b/router/planned_stop.cc
@@ -35,6 +35,10 @@
   event_base_loopbreak(router.base.get());
 }
 
+void on_end_timer(evutil_socket_t, short, void* argument) {
+  end_loop(*static_cast<router_state*>(argument));
+}
+
 void end_out_of_time(router_state& router) {
   router.ending = true;
   router.exit_status = router.calls.empty() ? 0 : 1;
@@ -44,7 +48,9 @@
   end_all_calls(router);
   stop_accepting(*router.caller_listener);
   reject_unfinished_requests(*router.caller_listener, to_text(refusal::stopping));
-  run_after(router.base.get(), final_read_time, [&router]() { end_loop(router); });
+  router.end_timer.reset(evtimer_new(router.base.get(), on_end_timer, &router));
+  const timeval delay = to_timeval(final_read_time);
+  event_add(router.end_timer.get(), &delay);
 }
 
 }  // namespace
--- a/router/router_state.h
+++ b/router/router_state.h
@@ -250,6 +250,7 @@
   std::function<void()> tick_timer_callback;
   event_ptr gossip_timer;
   event_ptr tick_timer;
+  event_ptr end_timer;  // at the end of the shutdown
   event_ptr term_signal;
   event_ptr hup_signal;
   int exit_status = 0;
