Review: case 12, an old entry takes a target back to its former version

An entry of an earlier start is taken for a restart, so streams go on at a target of another build (ORDER). The cases of planned stops become 14 and 15.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/standins-3"
 out=../../build-review-3
 mkdir -p "$out"
-for name in extra_answer slow_caller late_entry pipelining_caller; do
+for name in extra_answer slow_caller late_entry pipelining_caller old_version; do
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "$out/$name" "$name.cc" rig.cc
 done
--- a/review/standins-3/late_entry.cc
+++ b/review/standins-3/late_entry.cc
@@ -5,13 +5,17 @@
 //
 // While answers of the store are lost, a heartbeat of server i-1 (state ready) is held back. The
 // store does it 5.9 s after it was sent. Meanwhile the disruption is over, and i-1 has reported
-// `draining`, which the store has accepted. With TROUBLE 0 the write is never done.
-// Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
+// `draining`, which the store has accepted. 0.1 s after the late write 24 requests come at once,
+// and 40 ms after them i-1 exits. With TROUBLE 0 the write is never done. Exit status: 0 if the
+// rule held, 1 if it was broken, 2 if the case could not run.
+
+#include <sys/socket.h>
 
 #include <atomic>
 #include <cstdlib>
 #include <iostream>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -25,15 +29,18 @@
 constexpr int server_count = 3;
 constexpr int caller_count = 4;
 constexpr rig::milliseconds think_time{200};
-constexpr rig::milliseconds work_time{30};
+constexpr rig::milliseconds work_time{60};
 constexpr rig::milliseconds beat_interval{1'200};
 constexpr rig::milliseconds drain_limit{2'000};  // drain_ms
 // Of the disruption, from its beginning on: 4.5 s long, a write done up to 6 s later. The store is
 // stable again touch_ms (3 s) after its end.
 constexpr rig::milliseconds beat_sent_at{4'400};
+constexpr rig::milliseconds calls_end_at{7'300};
 constexpr rig::milliseconds draining_at{7'600};
 constexpr rig::milliseconds beat_done_at{10'300};
-constexpr rig::milliseconds end_at{14'000};
+constexpr rig::milliseconds burst_at{10'400};
+constexpr int burst_size = 24;
+constexpr rig::milliseconds exit_after_burst{40};
 
 struct leaving_server {
   std::mutex mutex;
@@ -41,6 +48,8 @@
   bool leaving = false;
   steady_clock::time_point accepted_at;  // when the store accepted `draining`
   int too_late = 0;                      // requests that reached it later than drain_limit after
+  std::set<int> sockets;                 // of its connections
+  bool exited = false;
 };
 
 struct fleet {
@@ -71,7 +80,8 @@
   --first.running;
 }
 
-void serve(fleet& servers, const std::string& id, rig::connection& peer) {
+// Answers the requests of one connection.
+void serve_calls(fleet& servers, const std::string& id, rig::connection& peer) {
   rig::message request;
   while (rig::read_message(peer, request)) {
     const std::string call = rig::header(request, "x-peridotspur-attempt-id");
@@ -89,6 +99,29 @@
   }
 }
 
+void serve_first(fleet& servers, rig::connection& peer) {
+  {
+    const std::lock_guard<std::mutex> lock(servers.first.mutex);
+    if (servers.first.exited) {
+      return;
+    }
+    servers.first.sockets.insert(peer.socket);
+  }
+  serve_calls(servers, "i-1", peer);
+  const std::lock_guard<std::mutex> lock(servers.first.mutex);
+  servers.first.sockets.erase(peer.socket);
+}
+
+// i-1 exits: its connections end.
+void exit_first(leaving_server& first) {
+  const std::lock_guard<std::mutex> lock(first.mutex);
+  first.exited = true;
+  for (const int socket : first.sockets) {
+    shutdown(socket, SHUT_RDWR);
+  }
+  rig::record("server i-1 exits");
+}
+
 std::string first_entry(const fleet& servers, const std::string& state, int call_seq) {
   return rig::server_entry(servers.first_port, state, call_seq);
 }
@@ -125,26 +158,50 @@
   }
 }
 
+// Sends one booking. The status of the answer, 0 if there is none.
+int send_call(int port, const std::string& call) {
+  const int socket = rig::connect_to(port);
+  if (socket < 0) {
+    return 0;
+  }
+  rig::connection peer(socket);
+  rig::message response;
+  std::string request = "POST /once/book HTTP/1.1\r\nHost: app.example\r\n";
+  request.append("X-Peridotspur-Attempt-Id: ").append(call).append("\r\n");
+  request +=
+      "X-Peridotspur-Deadline-Ms: 4000\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbook";
+  rig::send_bytes(peer, request);
+  const int status = rig::read_message(peer, response) ? rig::status_of(response) : 0;
+  rig::record("caller " + call + " got " + std::to_string(status));
+  return status;
+}
+
 void send_calls(int port, int caller, const std::atomic<bool>& ended, std::atomic<int>& served) {
   for (int number = 1; !ended; ++number) {
     const std::string call = "call-" + std::to_string(caller) + "-" + std::to_string(number);
-    const int socket = rig::connect_to(port);
-    if (socket >= 0) {
-      rig::connection peer(socket);
-      rig::message response;
-      rig::send_bytes(
-          peer, "POST /once/book HTTP/1.1\r\nHost: app.example\r\nX-Peridotspur-Attempt-Id: " +
-                    call + "\r\nX-Peridotspur-Deadline-Ms: 4000\r\nConnection: close\r\n" +
-                    "Content-Length: 4\r\n\r\nbook");
-      const bool has_answer = rig::read_message(peer, response);
-      served += has_answer && rig::status_of(response) == 200 ? 1 : 0;
-      rig::record("caller " + call + " got " +
-                  (has_answer ? std::to_string(rig::status_of(response)) : "no answer"));
-    }
+    served += send_call(port, call) == 200 ? 1 : 0;
     std::this_thread::sleep_for(think_time);
   }
 }
 
+// Many callers at once. Returns how many got no success.
+int send_burst(fleet& servers, int port, std::atomic<int>& served) {
+  std::atomic<int> failed{0};
+  std::vector<std::thread> callers;
+  for (int number = 1; number <= burst_size; ++number) {
+    callers.emplace_back([port, number, &served, &failed]() {
+      const bool is_served = send_call(port, "burst-" + std::to_string(number)) == 200;
+      ++(is_served ? served : failed);
+    });
+  }
+  std::this_thread::sleep_for(exit_after_burst);
+  exit_first(servers.first);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  return failed;
+}
+
 }  // namespace
 
 int main(int argument_count, char** arguments) {
@@ -158,8 +215,13 @@
   rig::put(servers.platform, "op/config", rig::sample_config(1));
   for (int number = 1; number <= server_count; ++number) {
     const std::string id = "i-" + std::to_string(number);
-    const int port =
-        rig::listen_and_serve([&servers, id](rig::connection& peer) { serve(servers, id, peer); });
+    const int port = rig::listen_and_serve([&servers, id](rig::connection& peer) {
+      if (id == "i-1") {
+        serve_first(servers, peer);
+      } else {
+        serve_calls(servers, id, peer);
+      }
+    });
     servers.first_port = number == 1 ? port : servers.first_port;
     rig::put(servers.platform, "servers/" + id, rig::server_entry(port));
   }
@@ -191,6 +253,11 @@
   const int held_call_seq = ++servers.call_seq;
   rig::record("server i-1 sends a heartbeat, ready, without an answer; call_seq=" +
               std::to_string(held_call_seq));
+  std::this_thread::sleep_until(start + calls_end_at);
+  ended = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
   std::this_thread::sleep_until(start + draining_at);
   begin_to_leave(servers);
   std::this_thread::sleep_until(start + beat_done_at);
@@ -200,13 +267,11 @@
                 std::to_string(held_call_seq));
     entry_is_old = true;
   }
-  std::this_thread::sleep_until(start + end_at);
-  ended = true;
-  for (std::thread& caller : callers) {
-    caller.join();
-  }
+  std::this_thread::sleep_until(start + burst_at);
+  const int failed = send_burst(servers, callers_port, served);
   const std::string summary = "served=" + std::to_string(served.load()) +
-                              " too_late=" + std::to_string(servers.first.too_late);
+                              " too_late=" + std::to_string(servers.first.too_late) +
+                              " failed=" + std::to_string(failed);
   rig::record(summary);
   std::cout << summary << std::endl;
   // The threads of the store and of the servers still use their state.
--- a/review/standins-3/pipelining_caller.cc
+++ b/review/standins-3/pipelining_caller.cc
@@ -1,5 +1,5 @@
 // A server, and callers that send several idempotent requests at once on one connection, before a
-// router that gets SIGTERM meanwhile. See review/14/claim.txt.
+// router that gets SIGTERM meanwhile. See review/15/claim.txt.
 //
 //   pipelining_caller DIRECTORY RECORD TROUBLE
 //
--- a/review/standins-3/rig.cc
+++ b/review/standins-3/rig.cc
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <iostream>
 #include <optional>
+#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -49,6 +50,31 @@
   return true;
 }
 
+// Reads the body up to its last chunk, or as far as it arrives.
+void read_chunks(connection& peer, message& result) {
+  while (true) {
+    std::size_t line_end = peer.received.find("\r\n");
+    while (line_end == std::string::npos) {
+      if (!receive(peer)) {
+        return;
+      }
+      line_end = peer.received.find("\r\n");
+    }
+    const std::size_t size = std::strtoull(peer.received.c_str(), nullptr, 16);
+    while (peer.received.size() < line_end + 2 + size + 2) {
+      if (!receive(peer)) {
+        return;
+      }
+    }
+    result.body += peer.received.substr(line_end + 2, size);
+    peer.received.erase(0, line_end + 2 + size + 2);
+    if (size == 0) {
+      result.complete = true;
+      return;
+    }
+  }
+}
+
 void parse_head(const std::string& head, message& result) {
   std::size_t begin = head.find("\r\n");
   result.start_line = head.substr(0, begin);
@@ -184,6 +210,12 @@
   return true;
 }
 
+std::string chunk(const std::string& bytes) {
+  std::ostringstream text;
+  text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+  return text.str();
+}
+
 bool read_message(connection& peer, message& result) {
   result = {};
   std::size_t end = peer.received.find("\r\n\r\n");
@@ -195,6 +227,10 @@
   }
   parse_head(peer.received.substr(0, end), result);
   peer.received.erase(0, end + 4);
+  if (header(result, "transfer-encoding") == "chunked") {
+    read_chunks(peer, result);
+    return true;
+  }
   const std::size_t length = std::strtoull(header(result, "content-length").c_str(), nullptr, 10);
   while (peer.received.size() < length && receive(peer)) {
   }
@@ -312,11 +348,12 @@
          R"("tenants":[{"name":"tenant-1","api_keys":["key-1"],"priority":1}]})";
 }
 
-std::string server_entry(int port, const std::string& state, int call_seq) {
+std::string server_entry(int port, const std::string& state, int call_seq,
+                         const std::string& version, std::int64_t born) {
   return R"({"service":"plain","address":"127.0.0.1:)" + std::to_string(port) +
-         R"(","zone":"zone-a","version":"v1","slots":64,"state":")" + state +
-         R"(","cold_left_ms":0,"call_seq":)" + std::to_string(call_seq) +
-         R"(,"born":1700000000000})";
+         R"(","zone":"zone-a","version":")" + version + R"(","slots":64,"state":")" + state +
+         R"(","cold_left_ms":0,"call_seq":)" + std::to_string(call_seq) + R"(,"born":)" +
+         std::to_string(born) + "}";
 }
 
 int free_port() {
--- a/review/standins-3/rig.h
+++ b/review/standins-3/rig.h
@@ -39,7 +39,7 @@
   std::string start_line;
   std::map<std::string, std::string> headers;  // names in lower case
   std::string body;
-  bool complete = false;  // the body has the announced length
+  bool complete = false;  // the body has the announced length, or its last chunk
 };
 
 // Writes `line` with the time since the start to record.txt.
@@ -48,7 +48,10 @@
 
 // Sends all bytes. False if the peer is gone.
 bool send_bytes(connection& peer, const std::string& bytes);
-// Reads a request or a response with an announced length. False if not even a head arrived.
+// One chunk of a chunked body; the last one if `bytes` is empty.
+std::string chunk(const std::string& bytes);
+// Reads a request or a response with an announced length or in chunks. False if not even a head
+// arrived.
 bool read_message(connection& peer, message& result);
 // Empty if the message lacks the header.
 std::string header(const message& source, const std::string& name);
@@ -91,7 +94,8 @@
 // (non_idempotent), /again/ (idempotent) and /stream/ (streaming, resumable).
 std::string sample_config(std::uint64_t version);
 // The entry of a server of `plain`, of one incarnation.
-std::string server_entry(int port, const std::string& state = "ready", int call_seq = 1);
+std::string server_entry(int port, const std::string& state = "ready", int call_seq = 1,
+                         const std::string& version = "v1", std::int64_t born = 1'700'000'000'000);
 
 // A port of 127.0.0.1 that was free just now.
 int free_port();
--- a/review/standins-3/slow_caller.cc
+++ b/review/standins-3/slow_caller.cc
@@ -1,5 +1,5 @@
 // A server whose answers are large, and callers that do not read for some seconds, before a router
-// that gets SIGTERM meanwhile. See review/12/claim.txt.
+// that gets SIGTERM meanwhile. See review/14/claim.txt.
 //
 //   slow_caller DIRECTORY RECORD TROUBLE
 //
