--- a/core/fleet/config_and_targets.cc
+++ b/core/fleet/config_and_targets.cc
@@ -1,8 +1,8 @@
 #include "core/fleet/config_and_targets.h"
 
 #include <algorithm>
-
-#include "core/base/stable_hash.h"
+#include <iterator>
+#include <utility>
 
 namespace peridot {
 
@@ -90,67 +90,150 @@
   target.cold_until = std::max(target.cold_until, now + cold_time);
 }
 
-void on_target_entry(target_table& table, const fleet_config* config, const target_entry& entry,
-                     instant now) {
-  target_state& target = table.targets[entry.name];
-  const bool known = target.entry.revision != store_revision{};
-  if (known && target.entry.revision >= entry.revision) {
-    return;
+namespace {
+
+// The target's history; a new one begins with the entry that counts.
+entry_history& history_of(target_table& table, const target_name& name) {
+  auto inserted = table.histories.try_emplace(name);
+  entry_history& history = inserted.first->second;
+  auto target = table.targets.find(name);
+  if (inserted.second && target != table.targets.end()) {
+    history.versions.push_back(
+        {target->second.entry.revision, target->second.entry_seen_at, target->second.entry});
   }
-  const bool restarted =
-      known && (entry.started_unix_ms != target.entry.started_unix_ms ||
-                entry.sequence < target.entry.sequence || entry.address != target.entry.address);
-  const bool was_leaving = target.leaving;
+  return history;
+}
+
+void use_entry(target_table& table, const fleet_config* config, const judged_entry& judged,
+               instant now) {
+  const target_entry& entry = *judged.counts->entry;
+  const bool known = table.targets.contains(entry.name);
+  target_state& target = table.targets[entry.name];
+  const bool restarted = known && !is_same_incarnation(target.entry, entry);
+  const target_state before = target;
   if (!known || restarted) {
-    target.leaving = false;
-    target.cold_until = instant{};
+    target = {};
   }
   const pool* target_pool = config == nullptr ? nullptr : find_pool(*config, entry.pool);
   if (restarted && target_pool != nullptr) {
     mark_cold(target, target_pool->cold_time, now);
   }
-  if (entry.cold_remaining > milliseconds{0}) {
+  if (entry.cold_remaining > milliseconds{0} && entry.revision > before.entry.revision) {
     mark_cold(target, entry.cold_remaining, now);
   }
+  if (entry.revision != before.entry.revision) {
+    target.build_doubted_at = instant{};
+  }
   target.entry = entry;
-  target.build_doubted_at = instant{};
-  target.leaving = target.leaving || entry.draining;
-  target.entry_expired = false;
-  if (!known || restarted || target.leaving != was_leaving) {
+  target.entry_seen_at = judged.counts->seen_at;
+  target.is_disputed = judged.held_back != nullptr;
+  target.leaving = target.leaving || judged.leaving;
+  const bool was_expired = std::exchange(target.entry_expired, judged.removal != nullptr);
+  if (target.entry_expired && !was_expired) {
+    target.entry_expired_at = judged.removal->seen_at;
+    target.expired_in_outage = judged.removal->cause == removal_cause::outage;
+  }
+  if (!known || restarted || target.leaving != before.leaving ||
+      target.is_disputed != before.is_disputed || (target.entry_expired && !was_expired)) {
     ++table.generation;
   }
 }
 
-void on_target_removed(target_table& table, const target_name& name, removal_cause cause,
-                       instant now) {
-  auto found = table.targets.find(name);
-  if (found == table.targets.end()) {
+// True if the incarnation that counts is leaving, by its entries or its responses.
+bool leaves(const target_table& table, const judged_entry& judged,
+            std::map<target_name, target_state>::const_iterator known) {
+  return judged.leaving || (known != table.targets.end() && known->second.leaving &&
+                            is_same_incarnation(known->second.entry, *judged.counts->entry));
+}
+
+// Uses the entry that counts now.
+void apply_history(target_table& table, const fleet_config* config, const target_name& name,
+                   entry_history& history, instant now) {
+  const judged_entry judged = judge(history, table.times, now);
+  history.holds_back = judged.held_back != nullptr;
+  auto target = table.targets.find(name);
+  const bool is_gone =
+      judged.counts == nullptr || (judged.removal != nullptr && leaves(table, judged, target));
+  if (!is_gone) {
+    use_entry(table, config, judged, now);
     return;
   }
-  ++table.generation;
-  if (cause != removal_cause::left && !found->second.leaving) {
-    if (!found->second.entry_expired) {
-      found->second.entry_expired = true;
-      found->second.entry_expired_at = now;
-      found->second.expired_in_outage = cause == removal_cause::outage;
+  if (target != table.targets.end()) {
+    table.targets.erase(target);
+    ++table.generation;
+  }
+}
+
+}  // namespace
+
+void on_target_entry(target_table& table, const fleet_config* config, const target_entry& entry,
+                     instant now) {
+  entry_history& history = history_of(table, entry.name);
+  if (add_version(history, {entry.revision, now, entry})) {
+    apply_history(table, config, entry.name, history, now);
+  }
+}
+
+void on_target_removed(target_table& table, const fleet_config* config, const target_name& name,
+                       removal_cause cause, const store_revision& revision, instant now) {
+  entry_history& history = history_of(table, name);
+  if (add_version(history, {revision, now, std::nullopt, cause})) {
+    apply_history(table, config, name, history, now);
+  }
+}
+
+bool names_target(const target_table& table, const target_name& name) {
+  auto history = table.histories.find(name);
+  return table.targets.contains(name) ||
+         (history != table.histories.end() && history->second.holds_back);
+}
+
+bool has_versions(const target_table& table, const target_name& name) {
+  return table.targets.contains(name) || table.histories.contains(name);
+}
+
+std::vector<target_name> check_entry_histories(target_table& table, const fleet_config* config,
+                                               instant now) {
+  std::vector<target_name> confirmed;
+  if (now - table.histories_checked_at < history_check_interval) {
+    return confirmed;
+  }
+  table.histories_checked_at = now;
+  for (auto entry = table.histories.begin(); entry != table.histories.end();) {
+    entry_history& history = entry->second;
+    if (history.holds_back && judge(history, table.times, now).held_back == nullptr) {
+      confirm_newest(history);
+      apply_history(table, config, entry->first, history, now);
+      confirmed.push_back(entry->first);
     }
-    return;
+    auto target = table.targets.find(entry->first);
+    const bool is_expired = target != table.targets.end() && target->second.entry_expired;
+    const bool is_needed =
+        history.holds_back || is_expired || !is_settled(history, table.times, now);
+    entry = is_needed ? std::next(entry) : table.histories.erase(entry);
   }
-  table.targets.erase(found);
+  return confirmed;
 }
 
 void remove_expired_targets(target_table& table, bool store_unavailable, instant store_recovered_at,
                             instant now) {
-  const std::size_t erased =
-      std::erase_if(table.targets, [&](const std::pair<const target_name, target_state>& entry) {
-        const target_state& target = entry.second;
-        const bool had_time_to_reappear =
-            !target.expired_in_outage ||
-            (!store_unavailable && now >= store_recovered_at + expiry_grace);
-        return target.entry_expired && had_time_to_reappear &&
-               now >= target.entry_expired_at + table.removal_grace;
-      });
-  table.generation += erased;
+  for (auto entry = table.targets.begin(); entry != table.targets.end();) {
+    auto found = entry++;
+    const target_state& target = found->second;
+    const bool had_time_to_reappear =
+        !target.expired_in_outage ||
+        (!store_unavailable && now >= store_recovered_at + expiry_grace);
+    if (!target.entry_expired || !had_time_to_reappear ||
+        now < target.entry_expired_at + table.removal_grace) {
+      continue;
+    }
+    auto history = table.histories.find(found->first);
+    if (history != table.histories.end()) {
+      end_expiry(history->second);
+    }
+    table.targets.erase(found);
+    ++table.generation;
+  }
 }
 
 void on_evacuation(target_table& table, const failure_domain_name& domain, bool evacuated,
@@ -172,16 +255,8 @@
   }
 }
 
-std::string to_text(const store_revision& revision) {
-  return std::to_string(revision.epoch) + ":" + std::to_string(revision.number);
-}
-
-build_id build_of(const target_entry& target) {
-  const std::uint64_t pool_hash = stable_hash(target.pool.value);
-  return static_cast<build_id>(
-      target.build.empty() ? stable_hash(target.name.value, pool_hash + static_cast<std::uint64_t>(
-                                                                            target.started_unix_ms))
-                           : stable_hash(target.build, pool_hash));
+bool is_cold(const target_state& target, instant now) {
+  return now < target.cold_until || target.is_disputed;
 }
 
 void doubt_build(target_state& target, instant now) {
@@ -191,7 +266,7 @@
 bool runs_build(const target_state& target, build_id build, bool store_unavailable, instant now) {
   const bool is_doubted = target.build_doubted_at != instant{} &&
                           (store_unavailable || now - target.build_doubted_at < build_doubt_time);
-  return !is_doubted && build_of(target.entry) == build;
+  return !is_doubted && !target.is_disputed && build_of(target.entry) == build;
 }
 
 void mark_leaving(target_table& table, target_state& target) {
--- a/core/fleet/config_and_targets.h
+++ b/core/fleet/config_and_targets.h
@@ -12,7 +12,6 @@
 // has none and is for use from one event loop.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -23,7 +22,9 @@
 #include <vector>
 
 #include "core/base/types.h"
+#include "core/fleet/entry_history.h"
 #include "core/fleet/removal_times.h"
+#include "core/fleet/target_entry.h"
 
 namespace peridot {
 
@@ -118,43 +119,11 @@
 // Null if there is no pool of this name.
 const pool* find_pool(const fleet_config& config, const pool_name& name);
 
-// A revision of the platform's store. When the store comes back from an older copy, it starts a
-// new epoch and gives revision numbers out again, so that numbers compare within one epoch only.
-struct store_revision {
-  std::uint64_t epoch = 0;
-  std::uint64_t number = 0;  // 0: none
-
-  // NOLINTNEXTLINE(modernize-use-nullptr): as in core/base/types.h
-  friend std::strong_ordering operator<=>(const store_revision&, const store_revision&) = default;
-};
-
-// "EPOCH:NUMBER", for logs.
-std::string to_text(const store_revision& revision);
-
-// The platform's description of one target.
-struct target_entry {
-  target_name name;
-  pool_name pool;
-  std::string address;  // "10.0.0.9:8000"
-  failure_domain_name domain;
-  std::string build;  // version of its software, not of its weights; no order; empty: unknown
-  int slots = 1;      // placement measures the target's running calls against it
-  bool draining = false;
-  milliseconds cold_remaining{0};
-  std::uint64_t sequence = 0;        // increases with each order that this incarnation accepted
-  std::int64_t started_unix_ms = 0;  // 0: not set
-  store_revision revision;           // of the entry
-};
-
-// Identifies a build within its pool, the same on all routers. What targets of two builds write
-// does not fit together. A target of unknown build has one of its own.
-using build_id = std::uint32_t;
-
-build_id build_of(const target_entry& target);
-
 // A target and the state that decides whether and how it may be used.
 struct target_state {
-  target_entry entry;
+  target_entry entry;        // the one that counts; see core/fleet/entry_history.h
+  instant entry_seen_at{};   // when it was first seen
+  bool is_disputed = false;  // a newer entry is held back: the target may have started again
   instant cold_until{};
   bool leaving = false;        // by its entry or its responses; reset only by a restart
   instant entry_expired_at{};  // when the entry disappeared; see on_target_removed()
@@ -166,8 +135,12 @@
 struct target_table {
   std::map<target_name, target_state> targets;
   std::set<failure_domain_name> evacuated;
-  // Incremented when a target is added, removed, loses its entry, restarts or starts to
-  // leave, and by each call of on_evacuation().
+  // Of targets whose entry has changed lately, those that are gone included.
+  std::map<target_name, entry_history> histories;
+  entry_times times;
+  instant histories_checked_at{};
+  // Incremented when a target is added, removed, loses its entry, restarts, starts to leave or
+  // becomes disputed or undisputed, and by each call of on_evacuation().
   std::uint64_t generation = 1;
   // Minimum time from the disappearance of an entry that may have expired to the removal of
   // its target. After an outage it takes effect when the entry disappears more than expiry_grace -
@@ -179,24 +152,32 @@
 // new entry arrives meanwhile, unless the store is unavailable.
 inline constexpr milliseconds build_doubt_time{2'000};
 
-// Applies an entry; one that is not newer than the known entry is ignored. A target that
-// has restarted under the same name is cold for at least the cold time of its pool, if the
-// pool is known, and is leaving only if the new entry is draining.
+// How often check_entry_histories() looks at all histories.
+inline constexpr milliseconds history_check_interval{250};
+
+// Applies an entry, unless an entry or a removal of its revision is known; the entry that counts is
+// decided by core/fleet/entry_history.h. A target that has restarted under the same name is cold
+// for at least the cold time of its pool, if the pool is known, and is leaving only if the new
+// entry is draining.
 void on_target_entry(target_table& table, const fleet_config* config, const target_entry& entry,
                      instant now);
 
-// Why an entry was removed; core/fleet/removal_times.h.
-enum class removal_cause {
-  left,           // the target has left
-  short_failure,  // as far as is known; a call to the store had just failed
-  outage,         // it may have expired in an outage of the store, as this router or the peer that
-                  // reported the removal has seen it
-};
+// Handles the removal of an entry at `revision`. If it may have expired, in a short failure or an
+// outage that this router has seen, the target stays in use until remove_expired_targets() removes
+// it, unless it is leaving.
+void on_target_removed(target_table& table, const fleet_config* config, const target_name& name,
+                       removal_cause cause, const store_revision& revision, instant now);
 
-// Handles the removal of an entry. Unless the target has left or is leaving, it stays in use until
-// remove_expired_targets() removes it.
-void on_target_removed(target_table& table, const target_name& name, removal_cause cause,
-                       instant now);
+// True if the store's newest entry under this name describes a target, in use or held back.
+bool names_target(const target_table& table, const target_name& name);
+
+// True if a version of the target's entry is known, so that an older one may tell more of it.
+bool has_versions(const target_table& table, const target_name& name);
+
+// Lets entries that were held back count once they have stood for long enough, and drops histories
+// that are needed no more. Returns the targets whose entry counts now. To be called with each tick.
+std::vector<target_name> check_entry_histories(target_table& table, const fleet_config* config,
+                                               instant now);
 
 // Removes targets whose entry may have expired, no sooner than removal_grace after the entry
 // disappeared; if that was in an outage, also no sooner than expiry_grace after the store's
@@ -216,6 +197,9 @@
 // not evacuated.
 bool is_usable(const target_table& table, const target_state& target);
 
+// True if the target is cold, or may be: it may have started again.
+bool is_cold(const target_state& target, instant now);
+
 // To be called when the target could not be reached: it may start again, under its name, with
 // another build. Its next entry ends the doubt.
 void doubt_build(target_state& target, instant now);
--- /dev/null
+++ b/core/fleet/entry_history.cc
@@ -0,0 +1,123 @@
+#include "core/fleet/entry_history.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridot {
+namespace {
+
+enum class incarnation_order { earlier, same, later };
+
+// How the incarnation of `entry` relates to that of `known`, which has the lower revision. A target
+// that does not say its start counts as started before one that does.
+incarnation_order order_of(const target_entry& entry, const target_entry& known) {
+  if (entry.started_unix_ms != known.started_unix_ms) {
+    return entry.started_unix_ms < known.started_unix_ms ? incarnation_order::earlier
+                                                         : incarnation_order::later;
+  }
+  const bool goes_on = entry.address == known.address && entry.sequence >= known.sequence;
+  return goes_on ? incarnation_order::same : incarnation_order::later;
+}
+
+// True if the version was the newest for long enough to be true.
+bool has_stood(const entry_history& history, std::size_t index, const entry_times& times,
+               instant now) {
+  const instant until =
+      index + 1 < history.versions.size() ? history.versions[index + 1].seen_at : now;
+  const instant since = std::max(history.versions[index].seen_at, times.readable_since);
+  return until - since >= times.entry_lifetime;
+}
+
+// True if a version that was seen at `seen_at` may have been sent before `known_at`.
+bool may_be_late(instant seen_at, instant known_at, const entry_times& times) {
+  return seen_at - std::max(known_at, times.readable_since) < contradiction_time(times);
+}
+
+bool is_outdated(const entry_history& history, std::size_t index, const entry_times& times,
+                 instant now) {
+  if (has_stood(history, index, times, now)) {
+    return false;
+  }
+  const entry_version& version = history.versions[index];
+  for (std::size_t earlier = 0; earlier < index; ++earlier) {
+    const entry_version& known = history.versions[earlier];
+    const bool may_contradict = may_be_late(version.seen_at, known.seen_at, times) ||
+                                version.revision.epoch != known.revision.epoch;
+    if (known.entry.has_value() && may_contradict &&
+        order_of(*version.entry, *known.entry) == incarnation_order::earlier) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+milliseconds contradiction_time(const entry_times& times) {
+  return max_write_delay + times.entry_lifetime;
+}
+
+bool is_settled(const entry_history& history, const entry_times& times, instant now) {
+  return !may_be_late(now, history.versions.back().seen_at, times);
+}
+
+bool is_same_incarnation(const target_entry& earlier, const target_entry& later) {
+  return order_of(later, earlier) == incarnation_order::same;
+}
+
+bool add_version(entry_history& history, entry_version version) {
+  auto position =
+      std::lower_bound(history.versions.begin(), history.versions.end(), version.revision,
+                       [](const entry_version& held, const store_revision& revision) {
+                         return held.revision < revision;
+                       });
+  if (position != history.versions.end() && position->revision == version.revision) {
+    const bool turns_final = !position->entry.has_value() && !version.entry.has_value() &&
+                             position->cause != removal_cause::left &&
+                             version.cause == removal_cause::left;
+    if (turns_final) {
+      position->cause = removal_cause::left;
+    }
+    return turns_final;
+  }
+  history.versions.insert(position, std::move(version));
+  if (history.versions.size() > max_versions) {
+    history.versions.erase(history.versions.begin());
+  }
+  return true;
+}
+
+judged_entry judge(const entry_history& history, const entry_times& times, instant now) {
+  judged_entry result;
+  for (std::size_t index = history.versions.size(); index-- > 0;) {
+    const entry_version& version = history.versions[index];
+    if (!version.entry.has_value()) {
+      if (version.is_over || version.cause == removal_cause::left ||
+          version.cause == removal_cause::rejected) {
+        return result;
+      }
+      result.removal = result.removal == nullptr ? &version : result.removal;
+    } else if (is_outdated(history, index, times, now)) {
+      const bool is_newest = index + 1 == history.versions.size();
+      result.held_back = is_newest ? &version : result.held_back;
+    } else {
+      result.counts = &version;
+      result.leaving = version.entry->draining;
+      return result;
+    }
+  }
+  return result;
+}
+
+void end_expiry(entry_history& history) {
+  for (entry_version& version : history.versions) {
+    version.is_over = !version.entry.has_value();
+  }
+}
+
+void confirm_newest(entry_history& history) {
+  history.versions.erase(history.versions.begin(), history.versions.end() - 1);
+  history.holds_back = false;
+}
+
+}  // namespace peridot
--- a/core/fleet/removal_times.cc
+++ b/core/fleet/removal_times.cc
@@ -11,13 +11,14 @@
 // Of an outage that lets entries expire, the router's own calls may see a part only.
 constexpr int min_outage_divisor = 2;     // of the heartbeat interval
 constexpr int removal_grace_divisor = 2;  // of the limit for leaving targets
+constexpr int entry_lifetime_factor = 4;  // of the heartbeat interval
 
 }  // namespace
 
 removal_times make_removal_times(milliseconds heartbeat_interval, milliseconds leaving_limit,
                                  milliseconds store_touch) {
   return {heartbeat_interval / min_outage_divisor, std::min(max_recovery_read_time, store_touch),
-          leaving_limit / removal_grace_divisor};
+          leaving_limit / removal_grace_divisor, heartbeat_interval * entry_lifetime_factor};
 }
 
 }  // namespace peridot
--- a/core/fleet/removal_times.h
+++ b/core/fleet/removal_times.h
@@ -27,10 +27,22 @@
 // The platform states that entries reappear within about 2 s of the end of an outage.
 inline constexpr std::chrono::milliseconds expiry_grace{2'200};
 
+// Why an entry is gone.
+enum class removal_cause {
+  left,           // the target has left
+  short_failure,  // as far as is known; a call to the store had just failed
+  outage,         // it may have expired in an outage of the store, as this router or the peer that
+                  // reported the removal has seen it
+  rejected,       // another writer has replaced it; says nothing of the target
+};
+
 struct removal_times {
   std::chrono::milliseconds min_outage{600};
   std::chrono::milliseconds recovery_read_time{1'000};  // both prefixes are read again within it
   std::chrono::milliseconds removal_grace{1'000};
+  // An entry that is not renewed is gone, and this router has read that: the three intervals
+  // until it expires, and one more.
+  std::chrono::milliseconds entry_lifetime{4'800};
 };
 
 // `leaving_limit`: the platform's limit, from the acknowledgement of a removal to the last call to
--- a/core/fleet/stream_builds.cc
+++ b/core/fleet/stream_builds.cc
@@ -52,6 +52,11 @@
   return result;
 }
 
+void note_build(stream_table& table, const target_entry& entry, instant now) {
+  known_builds& known = table.pools.try_emplace(entry.pool, known_builds{now, {}}).first->second;
+  known.builds.try_emplace(build_of(entry), seen_build{now, now}).first->second.last_seen = now;
+}
+
 }  // namespace
 
 std::uint64_t stream_key(const std::string& call_id) {
@@ -77,10 +82,12 @@
 
 void update_pool_builds(stream_table& table, const target_table& targets, instant now) {
   for (const std::pair<const target_name, target_state>& target : targets.targets) {
-    known_builds& known =
-        table.pools.try_emplace(target.second.entry.pool, known_builds{now, {}}).first->second;
-    known.builds.try_emplace(build_of(target.second.entry), seen_build{now, now})
-        .first->second.last_seen = now;
+    note_build(table, target.second.entry, now);
+  }
+  for (const std::pair<const target_name, entry_history>& history : targets.histories) {
+    if (history.second.holds_back) {
+      note_build(table, *history.second.versions.back().entry, now);  // other routers may use it
+    }
   }
   for (std::pair<const pool_name, known_builds>& pool : table.pools) {
     std::erase_if(pool.second.builds, [now](const std::pair<const build_id, seen_build>& build) {
--- a/core/fleet/stream_builds.h
+++ b/core/fleet/stream_builds.h
@@ -78,7 +78,8 @@
 // Empty if it is not known here.
 std::optional<build_id> find_build(const stream_table& table, std::uint64_t stream);
 
-// Notes the builds that targets run now. To be called a few times a second.
+// Notes the builds that targets run now, or may run: also those of entries that are held back. To
+// be called a few times a second.
 void update_pool_builds(stream_table& table, const target_table& targets, instant now);
 
 // True if the pool runs several builds, or did within build_retention.
--- a/core/fleet/target_statements.cc
+++ b/core/fleet/target_statements.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include "core/base/stable_hash.h"
-
 namespace peridot {
 namespace {
 
@@ -60,11 +58,6 @@
 
 }  // namespace
 
-std::uint32_t incarnation_hash(const target_entry& target) {
-  return static_cast<std::uint32_t>(
-      stable_hash(target.name.value, static_cast<std::uint64_t>(target.started_unix_ms)));
-}
-
 std::optional<double> rate_limit(const statement_table& table, const target_entry& target) {
   if (table.limited_count == 0) {
     return std::nullopt;
--- a/core/fleet/target_statements.h
+++ b/core/fleet/target_statements.h
@@ -94,9 +94,6 @@
   instant stated_at{};
 };
 
-// Identifies one incarnation of a target in reports.
-std::uint32_t incarnation_hash(const target_entry& target);
-
 // The limit in force, at least min_rate_limit; unset: none.
 std::optional<double> rate_limit(const statement_table& table, const target_entry& target);
 
--- a/core/testing/config_and_targets_test.cc
+++ b/core/testing/config_and_targets_test.cc
@@ -100,11 +100,11 @@
   target_table table;
   on_target_entry(table, config.get(), make_entry(1), now);
   SUBCASE("without an outage the target is removed immediately") {
-    on_target_removed(table, target_name{"t"}, removal_cause::left, now);
+    on_target_removed(table, config.get(), target_name{"t"}, removal_cause::left, {1, 2}, now);
     CHECK(table.targets.empty());
   }
   SUBCASE("expired during the outage: removed expiry_grace after the recovery") {
-    on_target_removed(table, target_name{"t"}, removal_cause::outage, now);
+    on_target_removed(table, config.get(), target_name{"t"}, removal_cause::outage, {1, 2}, now);
     remove_expired_targets(table, true, instant{}, now + std::chrono::minutes{1});
     CHECK(table.targets.size() == 1);
     const instant recovered_at = now + std::chrono::minutes{1};
@@ -118,12 +118,12 @@
     // Failure: such a target was used for 2.2 s after its removal, longer than the limit
     // (fault scenario ashyq-esik trouble-1, seed 813971815747).
     const instant recovered_at = now - milliseconds{900};
-    on_target_removed(table, target_name{"t"}, removal_cause::outage, now);
+    on_target_removed(table, config.get(), target_name{"t"}, removal_cause::outage, {1, 2}, now);
     remove_expired_targets(table, false, recovered_at, now + milliseconds{1'400});
     CHECK(table.targets.empty());
   }
   SUBCASE("an entry that reappears within the grace period keeps its target") {
-    on_target_removed(table, target_name{"t"}, removal_cause::outage, now);
+    on_target_removed(table, config.get(), target_name{"t"}, removal_cause::outage, {1, 2}, now);
     on_target_entry(table, config.get(), make_entry(7), now + milliseconds{500});
     remove_expired_targets(table, false, now, now + std::chrono::minutes{1});
     CHECK(is_usable(table, table.targets.at(target_name{"t"})));
--- a/core/testing/target_limit_test.cc
+++ b/core/testing/target_limit_test.cc
@@ -454,7 +454,8 @@
     CHECK_FALSE(is_usable(targets, targets.targets.at(entry.name)));
   }
   SUBCASE("an older copy of the store does not bring it back") {
-    on_target_removed(targets, entry.name, removal_cause::left, start + seconds{1});
+    on_target_removed(targets, nullptr, entry.name, removal_cause::left, {1, 6},
+                      start + seconds{1});
     forget_targets(table, targets, start + seconds{1});
     entry.revision = {2, 3};
     on_target_entry(targets, nullptr, entry, start + seconds{30});
@@ -471,7 +472,8 @@
     CHECK(table.targets.empty());
   }
   SUBCASE("it is forgotten some time after its entry is gone") {
-    on_target_removed(targets, entry.name, removal_cause::left, start + seconds{1});
+    on_target_removed(targets, nullptr, entry.name, removal_cause::left, {1, 6},
+                      start + seconds{1});
     forget_targets(table, targets, start + leaving_retention);
     CHECK(table.targets.empty());
   }
--- a/router/call_domains.cc
+++ b/router/call_domains.cc
@@ -38,7 +38,7 @@
     const target_entry& target = entry.second.entry;
     const pool* target_pool = find_pool(*router.store.config, target.pool);
     if (target_pool == nullptr || !is_usable(router.store.targets, entry.second) ||
-        now < entry.second.cold_until || is_avoided(router.health, entry.first, now)) {
+        is_cold(entry.second, now) || is_avoided(router.health, entry.first, now)) {
       continue;
     }
     const target_load& load = load_or_empty(router.loads, entry.first);
--- a/router/call_placement.cc
+++ b/router/call_placement.cc
@@ -57,7 +57,7 @@
                                            const pool& target_pool, instant now) {
   std::optional<send_allowance> allowance;
   const int routers = router_count(router.rate_limiter);
-  if (now < target.cold_until && target_pool.cold_rate > 0) {
+  if (is_cold(target, now) && target_pool.cold_rate > 0) {
     allowance = cold_start_allowance(
         target_pool.cold_rate * router.settings.cold_over + router.settings.cold_slack, routers);
   }
@@ -72,7 +72,7 @@
 struct candidate_lists {
   std::vector<candidate> healthy;
   std::vector<candidate> avoided;
-  // Of a build that other routers may not know yet; see may_begin_streams().
+  // Of a build that other routers may not know yet, or that is in doubt; see may_begin_streams().
   std::vector<candidate> unannounced;
   // If targets are left out that only take no call now: until the first of them takes one from this
   // router. duration::max(): other routers send to them.
@@ -110,8 +110,8 @@
     }
     const build_id build = build_of(target.entry);
     const bool is_unannounced =
-        begins_stream &&
-        !may_begin_streams(router.streams, target_pool.name, build, announcing, now);
+        begins_stream && (target.is_disputed || !may_begin_streams(router.streams, target_pool.name,
+                                                                   build, announcing, now));
     const bool avoided = is_avoided(router.health, entry.first, now);
     (is_unannounced ? result.unannounced : (avoided ? result.avoided : result.healthy))
         .push_back({entry.first, target.entry.slots, target.entry.domain == router.settings.domain,
--- a/router/control_pages.cc
+++ b/router/control_pages.cc
@@ -119,6 +119,7 @@
          " pool=" + target.entry.pool.value + " domain=" + target.entry.domain.value +
          " leaving=" + (target.leaving ? "1" : "0") +
          " lapsed=" + (target.entry_expired ? "1" : "0") +
+         " disputed=" + (target.is_disputed ? "1" : "0") +
          " cold_ms=" + std::to_string(static_cast<std::int64_t>(cold_ms)) +
          " avoided=" + (is_avoided(router.health, target.entry.name, now) ? "1" : "0") +
          " failure_mean=" + std::to_string(failure_rate(router.health, target.entry.name)) +
