--- a/core/fleet/entry_history.h
+++ b/core/fleet/entry_history.h
@@ -1,9 +1,13 @@
 // Which version of a target's entry in the store counts.
 //
 // The store orders the versions of an entry by revision. A target orders what it says of itself
-// by its start. The orders differ where the store does a write late, up to max_write_delay after
-// the target sent it: such a version has the highest revision, and is older than what was known
-// before. An entry is outdated if the store held an entry of a later start before it.
+// by its start and, within one incarnation, by a sequence number. The orders differ where the store
+// does a write late, up to max_write_delay after the target sent it: such a version has the highest
+// revision, and is older than what was known before. An entry is outdated if
+//
+// - the store held an entry of a later start before it; or
+// - neither start is set, so that only address and sequence number tell, and they do not show that
+//   the same incarnation goes on.
 //
 // What was known before an outdated entry counts instead. It is held back, not dropped: it is true
 // if the target's clock went back as it started again.
@@ -13,6 +17,9 @@
 // contradicts counts at once. Time in which the store is unavailable counts for neither: no entry
 // is put right then.
 //
+// A version of the same incarnation with a smaller sequence number is an older statement: it
+// changes nothing, however long it stands.
+//
 //   add_version(history, {entry.revision, now, entry});
 //   judged_entry judged = judge(history, times, now);
 //
@@ -58,7 +65,7 @@
   const entry_version* counts = nullptr;     // null: the target is gone
   const entry_version* held_back = nullptr;  // the newest version, if it is outdated
   const entry_version* removal = nullptr;    // above `counts`, if that may have expired
-  bool leaving = false;                      // as it says
+  bool leaving = false;                      // some version of the incarnation that counts says so
 };
 
 // The time after which a version contradicts no later one.
--- a/core/testing/entry_history_test.cc
+++ b/core/testing/entry_history_test.cc
@@ -162,6 +162,28 @@
   CHECK(is_cold(*find_target(router), router.now));
 }
 
+// Guards against review/13 (DRAIN): the store did a heartbeat from before draining late, and the
+// leaving target got calls.
+TEST_CASE("an older statement of the same incarnation does not make a leaving target usable") {
+  fixture router;
+  store_entry(router, {1'000, 1});
+  store_entry(router, {1'000, 9, "v1", true});
+  REQUIRE_FALSE(is_in_use(router));
+  wait(router, milliseconds{2'700});
+  store_entry(router, {1'000, 5});
+  CHECK_FALSE(is_in_use(router));
+  SUBCASE("however long it stands") {
+    wait(router, seconds{60});
+    CHECK_FALSE(is_in_use(router));
+  }
+  SUBCASE("once it has started again it is used at once, cold") {
+    store_entry(router, {70'000, 1, "v2"});
+    CHECK(is_in_use(router));
+    CHECK(is_cold(*find_target(router), router.now));
+    CHECK(continues_streams_of(router, "v2"));
+  }
+}
+
 TEST_CASE("a target that has started again under its name is used at once, cold") {
   fixture router;
   statement first{1'000, 7};
@@ -191,3 +213,24 @@
   CHECK(continues_streams_of(router, "v2"));
   CHECK(find_target(router)->entry.address == second.address);
 }
+
+TEST_CASE("without a start, a smaller sequence number may be a restart or a late write") {
+  fixture router;
+  store_entry(router, {0, 7, "v1", true});
+  wait(router, seconds{1});
+  store_entry(router, {0, 1, "v2"});
+  CHECK_FALSE(is_in_use(router));
+  SUBCASE("a late write: the target's next heartbeat follows") {
+    wait(router, heartbeat);
+    store_entry(router, {0, 8, "v1", true});
+    CHECK_FALSE(is_in_use(router));
+    wait(router, seconds{60});
+    CHECK_FALSE(is_in_use(router));
+  }
+  SUBCASE("a restart: in use once it stands, cold and at its build") {
+    wait(router, router.table.times.entry_lifetime + history_check_interval);
+    CHECK(is_in_use(router));
+    CHECK(is_cold(*find_target(router), router.now));
+    CHECK(continues_streams_of(router, "v2"));
+  }
+}
