Hold back an entry that is stored late after its target has left (DRAIN)

Cause: a removal ended all that was known of the target. Its sequence number does not help: the store rewrites an entry only if more than that has changed, so a late heartbeat has a larger one than the last entry known.

The history keeps removals now. A removal in an outage, or in one that this router may have missed by starting (new: unseen_outage), is not final: entries that are back count at once, unless their number is smaller than one known. A removal and the entry after it in one response are both judged, with an outage within the last 3 s taken for the reason of the removal.

--- a/core/fleet/entry_history.cc
+++ b/core/fleet/entry_history.cc
@@ -20,10 +20,54 @@
   return goes_on ? incarnation_order::same : incarnation_order::unclear;
 }
 
-// True if `entry` cannot be true unless `known` is not, too.
-bool contradicts(const target_entry& known, const target_entry& entry) {
-  const incarnation_order order = order_of(entry, known);
-  return order == incarnation_order::earlier || order == incarnation_order::unclear;
+bool may_return(const entry_version& removal) {
+  return removal.cause == removal_cause::outage || removal.cause == removal_cause::unseen_outage;
+}
+
+// What the versions between two entries say of the first one.
+struct entry_gap {
+  bool may_be_expired = false;
+  std::optional<instant> left_at;  // when the newest final removal was seen
+};
+
+// A removal before the store came back from an older copy says nothing of what is written since:
+// targets write all again.
+entry_gap gap_between(const entry_history& history, std::size_t first, std::size_t last) {
+  entry_gap gap;
+  for (std::size_t index = first + 1; index < last; ++index) {
+    const entry_version& version = history.versions[index];
+    if (version.entry.has_value() || version.cause == removal_cause::rejected ||
+        version.revision.epoch < history.versions[last].revision.epoch) {
+      continue;
+    }
+    if (may_return(version)) {
+      gap.may_be_expired = true;
+    } else {
+      gap.left_at = std::max(version.seen_at, gap.left_at.value_or(version.seen_at));
+    }
+  }
+  return gap;
+}
+
+// When what contradicts the entry at `last` was seen, if the entry at `first` shows it: the two
+// cannot both be true.
+std::optional<instant> contradicted_at(const entry_history& history, std::size_t first,
+                                       std::size_t last) {
+  const entry_version& known = history.versions[first];
+  const target_entry& entry = *history.versions[last].entry;
+  switch (order_of(entry, *known.entry)) {
+    case incarnation_order::later:
+      return std::nullopt;
+    case incarnation_order::same: {
+      const entry_gap gap = gap_between(history, first, last);
+      const bool is_older = gap.may_be_expired && entry.sequence < known.entry->sequence;
+      return !gap.left_at.has_value() && is_older ? known.seen_at : gap.left_at;
+    }
+    case incarnation_order::earlier:
+    case incarnation_order::unclear:
+      return known.seen_at;
+  }
+  return std::nullopt;
 }
 
 // True if the version was the newest for long enough to be true.
@@ -48,25 +92,31 @@
   const entry_version& version = history.versions[index];
   for (std::size_t earlier = 0; earlier < index; ++earlier) {
     const entry_version& known = history.versions[earlier];
-    const bool may_contradict = may_be_late(version.seen_at, known.seen_at, times) ||
-                                version.revision.epoch != known.revision.epoch;
-    if (known.entry.has_value() && may_contradict && contradicts(*known.entry, *version.entry)) {
+    const std::optional<instant> at =
+        known.entry.has_value() ? contradicted_at(history, earlier, index) : std::nullopt;
+    if (at.has_value() && (may_be_late(version.seen_at, *at, times) ||
+                           version.revision.epoch != known.revision.epoch)) {
       return true;
     }
   }
   return false;
 }
 
-// True if the same incarnation has said something later before.
+// True if the same incarnation has said something later before, and was not removed since.
 bool is_older_statement(const entry_history& history, std::size_t index) {
   const target_entry& entry = *history.versions[index].entry;
-  return std::any_of(history.versions.begin(),
-                     history.versions.begin() + static_cast<std::ptrdiff_t>(index),
-                     [&entry](const entry_version& known) {
-                       return known.entry.has_value() && entry.started_unix_ms != 0 &&
-                              order_of(entry, *known.entry) == incarnation_order::same &&
-                              entry.sequence < known.entry->sequence;
-                     });
+  for (std::size_t earlier = 0; earlier < index; ++earlier) {
+    const std::optional<target_entry>& known = history.versions[earlier].entry;
+    if (!known.has_value() || entry.started_unix_ms == 0 ||
+        entry.started_unix_ms != known->started_unix_ms || entry.sequence >= known->sequence) {
+      continue;
+    }
+    const entry_gap gap = gap_between(history, earlier, index);
+    if (!gap.may_be_expired && !gap.left_at.has_value()) {
+      return true;
+    }
+  }
+  return false;
 }
 
 // True if any version of the entry's incarnation says that it leaves.
@@ -121,6 +171,7 @@
     const entry_version& version = history.versions[index];
     if (!version.entry.has_value()) {
       if (version.is_over || version.cause == removal_cause::left ||
+          version.cause == removal_cause::unseen_outage ||
           version.cause == removal_cause::rejected) {
         return result;
       }
--- a/core/fleet/entry_history.h
+++ b/core/fleet/entry_history.h
@@ -5,12 +5,16 @@
 // does a write late, up to max_write_delay after the target sent it: such a version has the highest
 // revision, and is older than what was known before. An entry is outdated if
 //
-// - the store held an entry of a later start before it; or
+// - the store held an entry of a later start before it;
+// - its incarnation has left since: a removal lies between an entry of the same start and this
+//   one. The sequence number says nothing here, since the store rewrites an entry only if more than
+//   its sequence number has changed. A removal that may be an expiry is none of these, unless the
+//   sequence number is smaller than one seen before; or
 // - neither start is set, so that only address and sequence number tell, and they do not show that
 //   the same incarnation goes on.
 //
 // What was known before an outdated entry counts instead. It is held back, not dropped: it is true
-// if the target's clock went back as it started again.
+// if the target's clock went back as it started again, or if the target had only lost the store.
 // A live target puts an entry right with its next heartbeat, and the entry of one that has ended
 // expires, both within entry_lifetime. What stands for longer counts. No write is late by more than
 // max_write_delay, so that an entry which comes later than that, and entry_lifetime, after what it
--- a/core/fleet/removal_times.cc
+++ b/core/fleet/removal_times.cc
@@ -17,8 +17,11 @@
 
 removal_times make_removal_times(milliseconds heartbeat_interval, milliseconds leaving_limit,
                                  milliseconds store_touch) {
-  return {heartbeat_interval / min_outage_divisor, std::min(max_recovery_read_time, store_touch),
-          leaving_limit / removal_grace_divisor, heartbeat_interval * entry_lifetime_factor};
+  const milliseconds recovery_read_time = std::min(max_recovery_read_time, store_touch);
+  return {heartbeat_interval / min_outage_divisor, recovery_read_time,
+          leaving_limit / removal_grace_divisor,
+          std::min(expiry_grace + recovery_read_time, store_touch),
+          heartbeat_interval * entry_lifetime_factor};
 }
 
 }  // namespace peridot
--- a/core/fleet/removal_times.h
+++ b/core/fleet/removal_times.h
@@ -33,6 +33,8 @@
   short_failure,  // as far as is known; a call to the store had just failed
   outage,         // it may have expired in an outage of the store, as this router or the peer that
                   // reported the removal has seen it
+  unseen_outage,  // the same, in an outage from before this router read the store: the target is
+                  // dropped at once, and its entry counts if it reappears
   rejected,       // another writer has replaced it; says nothing of the target
 };
 
@@ -40,6 +42,8 @@
   std::chrono::milliseconds min_outage{600};
   std::chrono::milliseconds recovery_read_time{1'000};  // both prefixes are read again within it
   std::chrono::milliseconds removal_grace{1'000};
+  // An entry that expired in an outage is back this long after it, and has been read.
+  std::chrono::milliseconds return_time{3'000};
   // An entry that is not renewed is gone, and this router has read that: the three intervals
   // until it expires, and one more.
   std::chrono::milliseconds entry_lifetime{4'800};
