--- a/core/fleet/config_and_targets.cc
+++ b/core/fleet/config_and_targets.cc
@@ -104,12 +104,30 @@
   return history;
 }
 
+void erase_target(target_table& table, std::map<target_name, target_state>::iterator target,
+                  bool has_ended, instant now) {
+  if (has_ended) {
+    mark_ended(table.ended, incarnation_hash(target->second.entry), now, now);
+  }
+  table.targets.erase(target);
+  ++table.generation;
+}
+
+// True if the newest version says that the target will not come back by itself.
+bool is_final_removal(const entry_version& version) {
+  return !version.entry.has_value() &&
+         (version.cause == removal_cause::left || version.cause == removal_cause::short_failure);
+}
+
 void use_entry(target_table& table, const fleet_config* config, const judged_entry& judged,
                instant now) {
   const target_entry& entry = *judged.counts->entry;
   const bool known = table.targets.contains(entry.name);
   target_state& target = table.targets[entry.name];
   const bool restarted = known && !is_same_incarnation(target.entry, entry);
+  if (restarted && incarnation_hash(target.entry) != incarnation_hash(entry)) {
+    mark_ended(table.ended, incarnation_hash(target.entry), now, now);
+  }
   const target_state before = target;
   if (!known || restarted) {
     target = {};
@@ -149,8 +167,16 @@
 // Uses the entry that counts now.
 void apply_history(target_table& table, const fleet_config* config, const target_name& name,
                    entry_history& history, instant now) {
-  const judged_entry judged = judge(history, table.times, now);
+  const judged_entry judged = judge(history, table.ended, table.times, now);
   history.holds_back = judged.held_back != nullptr;
+  if (judged.held_back != nullptr) {
+    const std::uint32_t incarnation = incarnation_hash(*judged.held_back->entry);
+    const bool also_counts =
+        judged.counts != nullptr && incarnation_hash(*judged.counts->entry) == incarnation;
+    if (!also_counts && !find_ended(table.ended, incarnation).has_value()) {
+      mark_ended(table.ended, incarnation, now, now);
+    }
+  }
   auto target = table.targets.find(name);
   const bool is_gone =
       judged.counts == nullptr || (judged.removal != nullptr && leaves(table, judged, target));
@@ -159,8 +185,7 @@
     return;
   }
   if (target != table.targets.end()) {
-    table.targets.erase(target);
-    ++table.generation;
+    erase_target(table, target, is_final_removal(history.versions.back()), now);
   }
 }
 
@@ -192,6 +217,17 @@
   return table.targets.contains(name) || table.histories.contains(name);
 }
 
+bool review_entry(target_table& table, const fleet_config* config, const target_name& name,
+                  instant now) {
+  if (!has_versions(table, name)) {
+    return false;
+  }
+  entry_history& history = history_of(table, name);
+  const bool was_held_back = history.holds_back;
+  apply_history(table, config, name, history, now);
+  return history.holds_back && !was_held_back;
+}
+
 std::vector<target_name> check_entry_histories(target_table& table, const fleet_config* config,
                                                instant now) {
   std::vector<target_name> confirmed;
@@ -199,10 +235,14 @@
     return confirmed;
   }
   table.histories_checked_at = now;
+  if (now - table.times.readable_since >= contradiction_time(table.times)) {
+    forget_ended_before(table.ended, now - contradiction_time(table.times));
+  }
   for (auto entry = table.histories.begin(); entry != table.histories.end();) {
     entry_history& history = entry->second;
-    if (history.holds_back && judge(history, table.times, now).held_back == nullptr) {
-      confirm_newest(history);
+    if (history.holds_back && judge(history, table.ended, table.times, now).held_back == nullptr) {
+      confirm_newest(history, now);
+      forget_ended(table.ended, history.confirmed_incarnation);
       apply_history(table, config, entry->first, history, now);
       confirmed.push_back(entry->first);
     }
@@ -231,8 +271,7 @@
     if (history != table.histories.end()) {
       end_expiry(history->second);
     }
-    table.targets.erase(found);
-    ++table.generation;
+    erase_target(table, found, !target.expired_in_outage, now);
   }
 }
 
--- a/core/fleet/config_and_targets.h
+++ b/core/fleet/config_and_targets.h
@@ -137,6 +137,7 @@
   std::set<failure_domain_name> evacuated;
   // Of targets whose entry has changed lately, those that are gone included.
   std::map<target_name, entry_history> histories;
+  ended_table ended;
   entry_times times;
   instant histories_checked_at{};
   // Incremented when a target is added, removed, loses its entry, restarts, starts to leave or
@@ -174,6 +175,11 @@
 // True if a version of the target's entry is known, so that an older one may tell more of it.
 bool has_versions(const target_table& table, const target_name& name);
 
+// To be called when another router reports that the incarnation of the target's entry has ended.
+// Returns true if the entry is held back from now on.
+bool review_entry(target_table& table, const fleet_config* config, const target_name& name,
+                  instant now);
+
 // Lets entries that were held back count once they have stood for long enough, and drops histories
 // that are needed no more. Returns the targets whose entry counts now. To be called with each tick.
 std::vector<target_name> check_entry_histories(target_table& table, const fleet_config* config,
--- a/core/fleet/entry_history.cc
+++ b/core/fleet/entry_history.cc
@@ -84,8 +84,20 @@
   return seen_at - std::max(known_at, times.readable_since) < contradiction_time(times);
 }
 
-bool is_outdated(const entry_history& history, std::size_t index, const entry_times& times,
-                 instant now) {
+bool is_known_to_have_ended(const entry_history& history, const entry_version& version,
+                            const ended_table& ended, const entry_times& times) {
+  const std::uint32_t incarnation = incarnation_hash(*version.entry);
+  const std::optional<instant> ended_at = find_ended(ended, incarnation);
+  if (!ended_at.has_value()) {
+    return false;
+  }
+  const bool is_confirmed =
+      history.confirmed_incarnation == incarnation && *ended_at <= history.confirmed_at;
+  return !is_confirmed && may_be_late(version.seen_at, *ended_at, times);
+}
+
+bool is_outdated(const entry_history& history, std::size_t index, const ended_table& ended,
+                 const entry_times& times, instant now) {
   if (has_stood(history, index, times, now)) {
     return false;
   }
@@ -99,7 +111,7 @@
       return true;
     }
   }
-  return false;
+  return is_known_to_have_ended(history, version, ended, times);
 }
 
 // True if the same incarnation has said something later before, and was not removed since.
@@ -165,7 +177,8 @@
   return true;
 }
 
-judged_entry judge(const entry_history& history, const entry_times& times, instant now) {
+judged_entry judge(const entry_history& history, const ended_table& ended, const entry_times& times,
+                   instant now) {
   judged_entry result;
   for (std::size_t index = history.versions.size(); index-- > 0;) {
     const entry_version& version = history.versions[index];
@@ -176,7 +189,7 @@
         return result;
       }
       result.removal = result.removal == nullptr ? &version : result.removal;
-    } else if (is_outdated(history, index, times, now)) {
+    } else if (is_outdated(history, index, ended, times, now)) {
       const bool is_newest = index + 1 == history.versions.size();
       result.held_back = is_newest ? &version : result.held_back;
     } else if (!is_older_statement(history, index)) {
@@ -194,9 +207,11 @@
   }
 }
 
-void confirm_newest(entry_history& history) {
+void confirm_newest(entry_history& history, instant now) {
   history.versions.erase(history.versions.begin(), history.versions.end() - 1);
   history.holds_back = false;
+  history.confirmed_at = now;
+  history.confirmed_incarnation = incarnation_hash(*history.versions.back().entry);
 }
 
 }  // namespace peridot
--- a/core/fleet/entry_history.h
+++ b/core/fleet/entry_history.h
@@ -9,7 +9,8 @@
 // - its incarnation has left since: a removal lies between an entry of the same start and this
 //   one. The sequence number says nothing here, since the store rewrites an entry only if more than
 //   its sequence number has changed. A removal that may be an expiry is none of these, unless the
-//   sequence number is smaller than one seen before; or
+//   sequence number is smaller than one seen before;
+// - other routers report that its incarnation has ended (core/fleet/ended_incarnations.h); or
 // - neither start is set, so that only address and sequence number tell, and they do not show that
 //   the same incarnation goes on.
 //
@@ -25,7 +26,7 @@
 // changes nothing, however long it stands.
 //
 //   add_version(history, {entry.revision, now, entry});
-//   judged_entry judged = judge(history, times, now);
+//   judged_entry judged = judge(history, ended, times, now);
 //
 // Invariant: the answer depends on the versions and when they were seen, not on the order in which
 // they were added.
@@ -37,6 +38,7 @@
 #include <vector>
 
 #include "core/base/types.h"
+#include "core/fleet/ended_incarnations.h"
 #include "core/fleet/removal_times.h"
 #include "core/fleet/target_entry.h"
 
@@ -58,6 +60,10 @@
 struct entry_history {
   std::vector<entry_version> versions;  // by revision
   bool holds_back = false;              // the newest version is an outdated entry
+  // The newest entry was outdated and has stood for entry_lifetime: since when it counts, and its
+  // incarnation.
+  instant confirmed_at{};
+  std::uint32_t confirmed_incarnation = 0;
 };
 
 struct entry_times {
@@ -86,13 +92,14 @@
 bool add_version(entry_history& history, entry_version version);
 
 // The pointers in the result are valid until the history changes.
-judged_entry judge(const entry_history& history, const entry_times& times, instant now);
+judged_entry judge(const entry_history& history, const ended_table& ended, const entry_times& times,
+                   instant now);
 
 // Records that the time is over in which an expired entry is used: the target is gone.
 void end_expiry(entry_history& history);
 
 // Records that the newest version, an entry, counts now though it was outdated: what contradicted
 // it is forgotten.
-void confirm_newest(entry_history& history);
+void confirm_newest(entry_history& history, instant now);
 
 }  // namespace peridot
--- a/core/fleet/target_statements.cc
+++ b/core/fleet/target_statements.cc
@@ -122,7 +122,7 @@
     auto target = targets.targets.find(entry.first);
     if (entry.second.leaving && target != targets.targets.end() &&
         target->second.entry.started_unix_ms == entry.second.started_unix_ms &&
-        (all || now - entry.second.leaving_since < changed_limit_report_time)) {
+        (all || now - entry.second.leaving_since < changed_report_time)) {
       result.push_back(incarnation_hash(target->second.entry));
     }
   }
@@ -152,7 +152,7 @@
   for (const std::pair<const target_name, target_statement>& entry : table.targets) {
     const target_statement& statement = entry.second;
     auto target = targets.targets.find(entry.first);
-    const bool is_new = now - statement.changed_at < changed_limit_report_time;
+    const bool is_new = now - statement.changed_at < changed_report_time;
     const bool is_selected =
         selection == limit_selection::all ||
         (selection == limit_selection::heard && now - statement.heard_at < limit_report_interval);
--- a/core/fleet/target_statements.h
+++ b/core/fleet/target_statements.h
@@ -32,6 +32,7 @@
 
 #include "core/base/types.h"
 #include "core/fleet/config_and_targets.h"
+#include "core/fleet/report_times.h"
 
 namespace peridot {
 
@@ -43,12 +44,8 @@
 inline constexpr double limit_steps_per_call = 1'000;
 // How long routers report the end of a limit to each other.
 inline constexpr milliseconds ended_limit_report_time{10'000};
-// A limit that changed is reported in every round for this time, others once per interval.
-inline constexpr milliseconds changed_limit_report_time{2'000};
+// A limit that has not changed lately is reported once per interval.
 inline constexpr milliseconds limit_report_interval{2'000};
-// Reports of a statement that is known already arrive this much later at most, through delegates
-// too. They don't make it newer.
-inline constexpr milliseconds echo_time{1'000};
 
 // How long a target that said that it leaves is remembered after its entry is gone.
 inline constexpr milliseconds leaving_retention{60'000};
--- a/core/testing/entry_history_test.cc
+++ b/core/testing/entry_history_test.cc
@@ -137,6 +137,10 @@
     CHECK(is_in_use(router));
     CHECK(continues_streams_of(router, "v1"));
     CHECK(is_cold(*find_target(router), router.now));
+    SUBCASE("the entry of the start before it, done late, does not count") {
+      store_entry(router, {61'000, 9, "v2"});
+      CHECK_FALSE(continues_streams_of(router, "v2"));
+    }
   }
   SUBCASE("while the store is unavailable, no heartbeat can put it right") {
     for (int count = 0; count < 100; ++count) {
--- a/router/peer_exchange.cc
+++ b/router/peer_exchange.cc
@@ -304,6 +304,11 @@
        leaving_to_report(router.statements, router.store.targets, all, now)) {
     message.add_leaving_targets(incarnation);
   }
+  for (const ended_report& ended : ended_to_report(router.store.targets.ended, all, now)) {
+    wire::ended_target& report = *message.add_ended_targets();
+    report.set_incarnation(ended.incarnation);
+    report.set_age_ms(age_ms(ended.ended_at, now));
+  }
   for (const reported_limit& limit :
        limits_to_report(router.statements, router.store.targets, selection, now)) {
     wire::target_limit& report = *message.add_limits();
@@ -315,13 +320,33 @@
   }
 }
 
+// A peer reports that an incarnation has ended. Its entry may have come late.
+void apply_ended(router_state& router, const router_address& from, const ended_report& report,
+                 instant now) {
+  if (!merge_ended(router.store.targets.ended, report, now)) {
+    return;
+  }
+  auto found = router.target_by_incarnation.find(report.incarnation);
+  if (found != router.target_by_incarnation.end() &&
+      review_entry(router.store.targets, router.store.config.get(), found->second, now)) {
+    log_line(log_part::target, log_level::warn,
+             "Outdated target entry held back, as another router reports. target=" +
+                 found->second.value + " source=" + from.value);
+  }
+}
+
 template <class Message>
 void apply_statements(router_state& router, const router_address& from, const Message& message,
                       instant now) {
-  if (message.limits_size() == 0 && message.leaving_targets_size() == 0) {
+  if (message.limits_size() == 0 && message.leaving_targets_size() == 0 &&
+      message.ended_targets_size() == 0) {
     return;
   }
   update_target_index(router);
+  for (const wire::ended_target& report : message.ended_targets()) {
+    apply_ended(router, from, {report.incarnation(), now - milliseconds{report.age_ms()}}, now);
+  }
+  update_target_index(router);
   for (const std::uint32_t incarnation : message.leaving_targets()) {
     auto found = router.target_by_incarnation.find(incarnation);
     if (found != router.target_by_incarnation.end()) {
--- a/router/testing/digest_test.cc
+++ b/router/testing/digest_test.cc
@@ -242,10 +242,10 @@
     }
     SUBCASE("a router passes on what it was told, not as its own") {
       wire::gossip own;
-      add_statements(router, limit_selection::heard, now + changed_limit_report_time, own);
+      add_statements(router, limit_selection::heard, now + changed_report_time, own);
       CHECK(own.limits_size() == 0);
       wire::digest digest;
-      add_statements(router, limit_selection::all, now + changed_limit_report_time, digest);
+      add_statements(router, limit_selection::all, now + changed_report_time, digest);
       CHECK(digest.limits_size() == 1);
     }
   }
