Let only an entry of another start end the doubt about a target's build (ORDER)

A target that could not be reached may have started again with another build, so for 2 s no stream goes on there. Any entry ended that doubt, also one of the same start, which the store may have done late: the streams of the former build then went on at a target that may run another one.

Only an entry of another start ends it now; else the time does, as before.

--- a/core/fleet/config_and_targets.cc
+++ b/core/fleet/config_and_targets.cc
@@ -139,9 +139,6 @@
   if (entry.cold_remaining > milliseconds{0} && entry.revision > before.entry.revision) {
     mark_cold(target, entry.cold_remaining, now);
   }
-  if (entry.revision != before.entry.revision) {
-    target.build_doubted_at = instant{};
-  }
   target.entry = entry;
   target.entry_seen_at = judged.counts->seen_at;
   target.is_disputed = judged.held_back != nullptr;
--- a/core/fleet/config_and_targets.h
+++ b/core/fleet/config_and_targets.h
@@ -207,7 +207,8 @@
 bool is_cold(const target_state& target, instant now);
 
 // To be called when the target could not be reached: it may start again, under its name, with
-// another build. Its next entry ends the doubt.
+// another build. An entry of another start ends the doubt; one of the same start may have been
+// written before.
 void doubt_build(target_state& target, instant now);
 
 // True if the target is known to run the build.
