--- a/core/fleet/config_and_targets.cc
+++ b/core/fleet/config_and_targets.cc
@@ -131,6 +131,7 @@
   const target_state before = target;
   if (!known || restarted) {
     target = {};
+    target.incarnation_seen_at = now;
   }
   const pool* target_pool = config == nullptr ? nullptr : find_pool(*config, entry.pool);
   if (restarted && target_pool != nullptr) {
--- a/core/fleet/config_and_targets.h
+++ b/core/fleet/config_and_targets.h
@@ -121,9 +121,10 @@
 
 // A target and the state that decides whether and how it may be used.
 struct target_state {
-  target_entry entry;        // the one that counts; see core/fleet/entry_history.h
-  instant entry_seen_at{};   // when it was first seen
-  bool is_disputed = false;  // a newer entry is held back: the target may have started again
+  target_entry entry;             // the one that counts; see core/fleet/entry_history.h
+  instant entry_seen_at{};        // when it was first seen
+  instant incarnation_seen_at{};  // when an entry of its incarnation first counted
+  bool is_disputed = false;       // a newer entry is held back: the target may have started again
   instant cold_until{};
   bool leaving = false;        // by its entry or its responses; reset only by a restart
   instant entry_expired_at{};  // when the entry disappeared; see on_target_removed()
--- a/core/fleet/target_statements.cc
+++ b/core/fleet/target_statements.cc
@@ -14,6 +14,13 @@
              : &found->second;
 }
 
+// True if the target's present incarnation has said that it leaves. Where it does not say its
+// start, what was said before it was first seen is of another one.
+bool has_said_leaving(const target_state& target, const target_statement& statement) {
+  return statement.leaving && target.entry.started_unix_ms == statement.started_unix_ms &&
+         (statement.started_unix_ms != 0 || statement.leaving_since >= target.incarnation_seen_at);
+}
+
 target_statement& statement_of(statement_table& table, const target_entry& target) {
   target_statement& statement = table.targets[target.name];
   if (statement.started_unix_ms != target.started_unix_ms) {
@@ -105,11 +112,18 @@
   return true;
 }
 
+void record_leaving_entries(statement_table& table, const target_table& targets, instant now) {
+  for (const std::pair<const target_name, target_state>& target : targets.targets) {
+    if (target.second.leaving) {
+      record_leaving(table, target.second.entry, now);
+    }
+  }
+}
+
 void mark_leaving_targets(const statement_table& table, target_table& targets) {
   for (const std::pair<const target_name, target_statement>& entry : table.targets) {
     auto target = targets.targets.find(entry.first);
-    if (entry.second.leaving && target != targets.targets.end() &&
-        target->second.entry.started_unix_ms == entry.second.started_unix_ms) {
+    if (target != targets.targets.end() && has_said_leaving(target->second, entry.second)) {
       mark_leaving(targets, target->second);
     }
   }
@@ -120,8 +134,7 @@
   std::vector<std::uint32_t> result;
   for (const std::pair<const target_name, target_statement>& entry : table.targets) {
     auto target = targets.targets.find(entry.first);
-    if (entry.second.leaving && target != targets.targets.end() &&
-        target->second.entry.started_unix_ms == entry.second.started_unix_ms &&
+    if (target != targets.targets.end() && has_said_leaving(target->second, entry.second) &&
         (all || now - entry.second.leaving_since < changed_report_time)) {
       result.push_back(incarnation_hash(target->second.entry));
     }
@@ -172,9 +185,11 @@
     auto target = targets.targets.find(entry.first);
     const bool is_kept =
         entry.second.leaving && now - entry.second.leaving_since < leaving_retention;
-    const bool is_stale = target == targets.targets.end() ? !is_kept
-                                                          : target->second.entry.started_unix_ms !=
-                                                                entry.second.started_unix_ms;
+    const bool is_of_other_incarnation =
+        target != targets.targets.end() &&
+        (target->second.entry.started_unix_ms != entry.second.started_unix_ms ||
+         (entry.second.leaving && !has_said_leaving(target->second, entry.second)));
+    const bool is_stale = target == targets.targets.end() ? !is_kept : is_of_other_incarnation;
     table.limited_count -= is_stale && entry.second.rate_limit.has_value() ? 1 : 0;
     return is_stale;
   });
--- a/core/fleet/target_statements.h
+++ b/core/fleet/target_statements.h
@@ -112,6 +112,10 @@
 // The target leaves. Returns true if that was not known.
 bool record_leaving(statement_table& table, const target_entry& target, instant now);
 
+// Records what entries in the store say of leaving, so that it holds for their incarnations also
+// once the store has older entries, and routers that read only these are told.
+void record_leaving_entries(statement_table& table, const target_table& targets, instant now);
+
 // Marks the targets as leaving that have said so.
 void mark_leaving_targets(const statement_table& table, target_table& targets);
 
--- a/core/testing/target_limit_test.cc
+++ b/core/testing/target_limit_test.cc
@@ -471,6 +471,22 @@
     forget_targets(table, targets, start + seconds{1});
     CHECK(table.targets.empty());
   }
+  SUBCASE("nor one that does not say its start, and starts again at another address") {
+    target_entry without_start = entry_named("u", 0);
+    without_start.revision = {1, 7};
+    without_start.draining = true;
+    on_target_entry(targets, nullptr, without_start, start);
+    record_leaving_entries(table, targets, start);
+    const instant restarted_at = start + seconds{60};
+    without_start.revision = {1, 8};
+    without_start.draining = false;
+    without_start.address = "10.0.0.2:80";
+    on_target_entry(targets, nullptr, without_start, restarted_at);
+    mark_leaving_targets(table, targets);
+    CHECK(is_usable(targets, targets.targets.at(without_start.name)));
+    forget_targets(table, targets, restarted_at);
+    CHECK_FALSE(table.targets.contains(without_start.name));
+  }
   SUBCASE("it is forgotten some time after its entry is gone") {
     on_target_removed(targets, nullptr, entry.name, removal_cause::left, {1, 6},
                       start + seconds{1});
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -82,6 +82,7 @@
                   return !known_targets.contains(item.first);
                 });
   mark_leaving_targets(router.statements, router.store.targets);
+  record_leaving_entries(router.statements, router.store.targets, current_time());
   forget_targets(router.statements, router.store.targets, current_time());
   std::erase_if(router.rate_limiter.schedules,
                 [&known_targets](const std::pair<const target_name, send_schedule>& item) {
--- a/router/testing/late_entry_test.cc
+++ b/router/testing/late_entry_test.cc
@@ -36,6 +36,7 @@
 
 void read_item(router_state& router, const platform::store_item& item, instant now) {
   platform::apply_items(router.store, {item}, platform::item_source::store_watch, now);
+  record_leaving_entries(router.statements, router.store.targets, now);
 }
 
 void report(const router_state& from, router_state& to, instant now) {
@@ -144,3 +145,18 @@
   read_item(started, entry_item(4, {70'000, 2}), start + seconds{73});
   CHECK(is_in_use(started));
 }
+
+// Guards against review/13 at a router that started after the late write (DRAIN): it had not read
+// that the target leaves.
+TEST_CASE("a router that read only an older statement learns that the target leaves") {
+  router_state knows;
+  read_item(knows, entry_item(1, {1'000, 1}), start);
+  read_item(knows, entry_item(2, {1'000, 9, "draining"}), start + seconds{60});
+  read_item(knows, entry_item(3, {1'000, 5}), start + seconds{62});
+  router_state started;
+  read_item(started, entry_item(3, {1'000, 5}), start + seconds{62});
+  REQUIRE(is_in_use(started));
+  report(knows, started, start + seconds{62});
+  CHECK_FALSE(is_in_use(started));
+  CHECK_FALSE(is_in_use(knows));
+}
