--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -113,14 +113,21 @@
   end_call(connection, client_call_result::complete, "");
 }
 
-// Compares the echo header of the response with the request's. True also if it is absent.
+// Compares the echo header of the response with the request's. A response that lacks the header,
+// from a server that echoes it, is not to a request: a faulty server has sent additional bytes.
 bool is_response_to_call(client_connection& connection) {
   const http_request& request = connection.call->request;
+  const message_head& head = connection.parser.head;
   if (request.echo_header.empty()) {
     return true;
   }
-  const std::string_view echo = find_header(connection.parser.head.headers, request.echo_header);
-  return echo.empty() || echo == request.echo_value;
+  const std::string_view echo = find_header(head.headers, request.echo_header);
+  if (echo.empty()) {
+    const bool may_lack_echo = request.may_lack_echo != nullptr && request.may_lack_echo(head);
+    return !connection.server_echoes || request.echo_value.empty() || may_lack_echo;
+  }
+  connection.server_echoes = connection.server_echoes || echo == request.echo_value;
+  return echo == request.echo_value;
 }
 
 // Passes received data to the handlers. False if a handler has cancelled the call; the
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -19,7 +19,7 @@
 // the request, and incomplete if the connection is reset before.
 //
 // A response that carries another call's id in the echo header belongs to an earlier call
-// and is skipped. A connection is not reused after a skipped response, bytes after a
+// and is skipped, and so is one without it from a server that echoes. A connection is not reused after a skipped response, bytes after a
 // response, a response that ended before the whole request was written, or an announced
 // close.
 //
@@ -53,10 +53,12 @@
   // In place of `body`, and not copied: kept alive until it has been written.
   std::shared_ptr<const std::string> shared_body;
   bool has_body = false;  // sends Content-Length even if the body is empty
-  // A response with another value in this header than `echo_value` is skipped; one without
-  // the header is accepted. Empty: not checked.
+  // A response with another value in this header than `echo_value` is skipped. So is one without
+  // the header, on a connection on which the server has echoed it before, unless `may_lack_echo` is
+  // set and accepts the head. Empty: not checked.
   std::string echo_header;
   std::string echo_value;
+  bool (*may_lack_echo)(const message_head&) = nullptr;
   milliseconds connect_timeout{300};
   // Longest time without a byte of the response, counted from connecting or, on a reused
   // connection, from sending; 0: none.
@@ -109,6 +111,7 @@
   bool connected = false;
   bool skipping_response = false;  // the current response is interim or belongs to another call
   bool must_close = false;         // not reusable after the current call
+  bool server_echoes = false;      // a response has carried the echo header of its request
   bool head_delivered = false;     // to the handlers of the call
   // Runs while the server has ended its response by closing the connection, and may not have
   // received the whole request.
--- a/router/call_attempt.cc
+++ b/router/call_attempt.cc
@@ -440,6 +440,7 @@
       head.framing != body_framing::none || has_header(head.headers, "Content-Length");
   result.echo_header = std::string(platform::call_id_header());
   result.echo_value = call.request.id;
+  result.may_lack_echo = platform::states_not_run;
   result.connect_timeout = connect_timeout;
   result.max_reuse_idle_time =
       is_retryable(*call.matched_route) ? max_idle_if_retryable : max_idle_if_not_retryable;
