--- a/net/http_client.h
+++ b/net/http_client.h
@@ -19,9 +19,9 @@
 // the request, and incomplete if the connection is reset before.
 //
 // A response that carries another call's id in the echo header belongs to an earlier call
-// and is skipped, and so is one without it from a server that echoes. A connection is not reused after a skipped response, bytes after a
-// response, a response that ended before the whole request was written, or an announced
-// close.
+// and is skipped, and so is one without it from a server that echoes. A connection is not reused
+// after a skipped response, bytes after a response, a response that ended before the whole request
+// was written, or an announced close.
 //
 // Handlers are called from the event loop, never from within start_call().
 // Thread safety: none; for use from one event loop.
--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -133,11 +133,24 @@
   set_timeout(connection, connection.listener->options.response_write_timeout);
 }
 
+bool has_unsent_output(const http_connection& connection) {
+  return evbuffer_get_length(bufferevent_get_output(connection.stream)) != 0;
+}
+
+// The connection is idle from now on, or once the output has left the process.
+void start_idle_time(http_connection& connection) {
+  const milliseconds idle_timeout = connection.listener->current_limits().idle_timeout;
+  connection.idle_since = current_time();
+  set_timeout(connection,
+              has_unsent_output(connection)
+                  ? std::max(idle_timeout, connection.listener->options.response_write_timeout)
+                  : idle_timeout);
+}
+
 void wait_for_request(http_connection& connection) {
   connection.receiving_request = false;
-  connection.idle_since = current_time();
   reset_parser(connection.parser, message_kind::request);
-  set_timeout(connection, connection.listener->current_limits().idle_timeout);
+  start_idle_time(connection);
 }
 
 // Adds the received body bytes to the total. False if the request was rejected.
@@ -266,6 +279,8 @@
   }
   if (connection.close_after_response) {
     start_lingering_close(connection);
+  } else if (!connection.receiving_request) {
+    start_idle_time(connection);
   }
 }
 
@@ -349,7 +364,7 @@
   release_body(connection);
   if (connection.close_after_response) {
     set_timeout(connection, connection.listener->options.response_write_timeout);
-    if (evbuffer_get_length(bufferevent_get_output(connection.stream)) == 0) {
+    if (!has_unsent_output(connection)) {
       start_lingering_close(connection);
     }
     return;
@@ -429,6 +444,7 @@
   for (http_connection* connection : open_connections) {
     const bool idle = connection->exchange == nullptr && !connection->receiving_request &&
                       !connection->lingering && !connection->close_after_response &&
+                      !has_unsent_output(*connection) &&
                       now - connection->idle_since >= min_idle_time &&
                       evbuffer_get_length(bufferevent_get_input(connection->stream)) == 0 &&
                       !has_unread_input(*connection);
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -57,8 +57,10 @@
   std::size_t max_connections = 3'000;
   int max_accepts_per_iteration = 16;  // of the event loop; other connections stay in the backlog
   int backlog = 256;                   // connections that wait to be accepted
-  std::size_t max_body_total = 32 << 20;        // bytes of request bodies over all connections
-  milliseconds response_write_timeout{10'000};  // until a connection's last response is written
+  std::size_t max_body_total = 32 << 20;  // bytes of request bodies over all connections
+  // Until a response that is complete in the output buffer has left the process; on a connection
+  // that is kept, idle_timeout if that is longer.
+  milliseconds response_write_timeout{10'000};
 };
 
 // One request and its response.
@@ -87,9 +89,9 @@
   event_ptr timer;
   std::string remote_address;
   instant first_byte_at{};
-  instant idle_since{};
-  bool receiving_request = false;          // a request has started to arrive
-  bool close_after_response = false;       // after the current response
+  instant idle_since{};               // valid between requests, once the output buffer is empty
+  bool receiving_request = false;     // a request has started to arrive
+  bool close_after_response = false;  // after the current response
   bool body_ends_with_connection = false;  // the current response has neither length nor chunks
   bool lingering = false;                  // sending side is shut down; input is discarded
   std::string pending_output;              // head and body bytes that flush_output() writes next
@@ -139,8 +141,8 @@
 std::uint64_t set_rejecting_connections(http_listener& listener, bool rejecting);
 
 // Closes the connections that have been idle for at least `min_idle_time`, and on which nothing
-// has arrived. On a connection that has been idle for a shorter time, the caller's next request may
-// already be in flight.
+// has arrived. A connection is idle once its response has left the process. On a connection that
+// has been idle for a shorter time, the caller's next request may already be in flight.
 void close_idle_connections(http_listener& listener, milliseconds min_idle_time);
 
 // Answers 503 to the requests of which a part has been read, and closes their connections.
--- a/net/testing/http_client_listener_test.cc
+++ b/net/testing/http_client_listener_test.cc
@@ -181,6 +181,97 @@
   }
 }
 
+namespace {
+
+// A caller whose kernel holds little of what it has not read.
+struct slow_caller {
+  int socket = -1;
+  std::string received;
+  ~slow_caller() {
+    ::close(socket);
+  }
+};
+
+void connect_slow_caller(slow_caller& caller, std::uint16_t port) {
+  caller.socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int small_buffer = 4'096;
+  setsockopt(caller.socket, SOL_SOCKET, SO_RCVBUF, &small_buffer, sizeof(small_buffer));
+  const sockaddr_in address = testing::loopback(port);
+  REQUIRE(connect(caller.socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) ==
+          0);
+  REQUIRE(::send(caller.socket, get_request.data(), get_request.size(), 0) ==
+          static_cast<ssize_t>(get_request.size()));
+}
+
+// Reads all that arrives until `size` bytes are there or the connection ends.
+void read_all(listener_fixture& fixture, slow_caller& caller, std::size_t size) {
+  testing::run_until(fixture.base.get(), [&caller, size]() {
+    char bytes[65'536];
+    ssize_t count = 0;
+    while ((count = recv(caller.socket, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0) {
+      caller.received.append(bytes, static_cast<std::size_t>(count));
+    }
+    return caller.received.size() >= size || count == 0;
+  });
+}
+
+}  // namespace
+
+// Guards against review/14 (LOST): a connection counted as idle once its response was complete in
+// the output buffer, and closing it cut the response.
+TEST_CASE("listener: a connection is not idle before its response has left the process") {
+  constexpr std::size_t body_size = 6 << 20;  // more than the kernel holds
+  listener_fixture fixture;
+  fixture.limits.idle_timeout = milliseconds{200};
+  start_fixture(fixture);
+  slow_caller caller;
+  connect_slow_caller(caller, fixture.port);
+  REQUIRE(wait_for_exchanges(fixture, 1));
+  send_response(*fixture.exchanges[0], 200, {}, std::string(body_size, 'x'));
+  SUBCASE("idle connections are closed") {
+    testing::run_for(fixture.base.get(), milliseconds{50});
+    close_idle_connections(*fixture.listener, milliseconds{10});
+  }
+  SUBCASE("its idle time is over") {
+    testing::run_for(fixture.base.get(), 3 * fixture.limits.idle_timeout);
+  }
+  SUBCASE("the listener closes connections from now on") {
+    set_close_after_response(*fixture.listener, true);
+    testing::run_for(fixture.base.get(), 3 * fixture.limits.idle_timeout);
+    close_idle_connections(*fixture.listener, milliseconds{10});
+  }
+  read_all(fixture, caller, body_size);
+  CHECK(caller.received.size() > body_size);
+  SUBCASE("its idle time begins then") {
+    close_idle_connections(*fixture.listener, milliseconds{100});
+    CHECK(fixture.listener->connections.size() == 1);
+    testing::run_for(fixture.base.get(), milliseconds{150});
+    close_idle_connections(*fixture.listener, milliseconds{100});
+    CHECK(fixture.listener->connections.empty());
+  }
+  SUBCASE("and ends by itself") {
+    CHECK(testing::run_until(fixture.base.get(),
+                             [&fixture]() { return fixture.listener->connections.empty(); }));
+  }
+}
+
+// The counterpart: callers that do not read do not hold their connections for good.
+TEST_CASE("listener: a response that its caller does not read is given up") {
+  listener_fixture fixture;
+  fixture.limits.idle_timeout = milliseconds{100};
+  start_fixture(fixture);
+  fixture.listener->options.response_write_timeout = milliseconds{300};
+  slow_caller caller;
+  connect_slow_caller(caller, fixture.port);
+  REQUIRE(wait_for_exchanges(fixture, 1));
+  send_response(*fixture.exchanges[0], 200, {}, std::string(6 << 20, 'x'));
+  testing::run_for(fixture.base.get(), milliseconds{200});
+  CHECK(fixture.listener->connections.size() == 1);
+  CHECK(testing::run_until(fixture.base.get(),
+                           [&fixture]() { return fixture.listener->connections.empty(); }));
+  CHECK(fixture.listener->unsent_bytes == 0);
+}
+
 // Guards against DENIED (second review): the limit of an idle connection was the one in force when
 // its last request ended, so that proper requests got 431 after the limit had been raised.
 TEST_CASE("listener: the limit of a head is the one in force when the request begins") {
