--- a/net/http_listener.cc
+++ b/net/http_listener.cc
@@ -189,6 +189,12 @@
   return peek(connection) > 0;
 }
 
+// True if more has arrived than the request in progress.
+bool has_waiting_input(const http_connection& connection) {
+  return evbuffer_get_length(bufferevent_get_input(connection.stream)) != 0 ||
+         has_unread_input(connection);
+}
+
 void pass_to_handler(http_connection& connection) {
   http_listener& listener = *connection.listener;
   // The request may have waited in the kernel for longer than its caller: in the backlog, or while
@@ -446,8 +452,7 @@
                       !connection->lingering && !connection->close_after_response &&
                       !has_unsent_output(*connection) &&
                       now - connection->idle_since >= min_idle_time &&
-                      evbuffer_get_length(bufferevent_get_input(connection->stream)) == 0 &&
-                      !has_unread_input(*connection);
+                      !has_waiting_input(*connection);
     if (idle) {
       close_connection(*connection);
     }
@@ -482,9 +487,10 @@
   http_connection& connection = *exchange.connection;
   // The listener's close_after_response is read only here, before the head is written, because
   // the close must be announced: after a response without `Connection: close` the caller may
-  // send another request.
+  // send another request. What waits behind this one is served first.
   connection.close_after_response =
-      connection.close_after_response || connection.listener->close_after_response;
+      connection.close_after_response ||
+      (connection.listener->close_after_response && !has_waiting_input(connection));
   std::string framing_header;
   const bool no_body = status == 204 || status == 304;
   if (length.has_value() && !no_body) {
--- a/net/http_listener.h
+++ b/net/http_listener.h
@@ -132,7 +132,8 @@
 // Accepts the connections that are already in the backlog, then closes the listening socket.
 void stop_accepting(http_listener& listener);
 
-// While enabled, each response carries `Connection: close` and its connection is closed.
+// While enabled, each response carries `Connection: close` and its connection is closed, unless
+// more input waits there: the close is announced with the last response.
 void set_close_after_response(http_listener& listener, bool enabled);
 
 // While `rejecting` is set, new connections are closed before anything is read, so that their
--- a/net/testing/http_client_listener_test.cc
+++ b/net/testing/http_client_listener_test.cc
@@ -162,6 +162,34 @@
     CHECK(caller.received.find("Connection: close") != std::string::npos);
     CHECK(caller.received.find("last") != std::string::npos);
   }
+  SUBCASE("requests that wait behind the response are answered before the announced close") {
+    // Guards against review/15 (LOST): the close was announced with the next response, and requests
+    // that had arrived behind it were discarded.
+    testing::send_raw(caller, get_request + get_request + get_request);
+    REQUIRE(wait_for_exchanges(fixture, 1));
+    set_close_after_response(*fixture.listener, true);
+    for (std::size_t index = 0; index < 3; ++index) {
+      REQUIRE(wait_for_exchanges(fixture, index + 1));
+      CHECK(caller.received.find("Connection: close") == std::string::npos);
+      send_response(*fixture.exchanges[index], 200, {}, "number " + std::to_string(index));
+    }
+    CHECK(testing::run_until(fixture.base.get(), [&caller]() { return caller.closed; }));
+    CHECK(caller.received.find("number 2") != std::string::npos);
+    CHECK(caller.received.find("Connection: close") > caller.received.find("number 1"));
+    CHECK(caller.received.find("Connection: close") < caller.received.find("number 2"));
+  }
+  SUBCASE("a request of which a part has arrived is answered, too") {
+    testing::send_raw(caller, get_request + "GET /b HTTP/1.1\r\n");
+    REQUIRE(wait_for_exchanges(fixture, 1));
+    set_close_after_response(*fixture.listener, true);
+    send_response(*fixture.exchanges[0], 200, {}, "first");
+    REQUIRE(wait_for_text(fixture, caller, "first"));
+    testing::send_raw(caller, "Host: x\r\n\r\n");
+    REQUIRE(wait_for_exchanges(fixture, 2));
+    send_response(*fixture.exchanges[1], 200, {}, "last");
+    CHECK(testing::run_until(fixture.base.get(), [&caller]() { return caller.closed; }));
+    CHECK(caller.received.find("last") != std::string::npos);
+  }
   SUBCASE("a connection is not closed after a response that did not announce it") {
     // Guards against closing a connection whose response did not announce it: if the router
     // stops between the start and the end of a response, the caller's next request on the
--- a/router/testing/planned_stop_test.cc
+++ b/router/testing/planned_stop_test.cc
@@ -157,6 +157,48 @@
   }
 }
 
+// Guards against review/15 (LOST): of requests that a caller had sent at once, those behind the
+// first were dropped without an answer.
+TEST_CASE("requests that wait behind another one are answered by a router that stops") {
+  stop_fixture fixture;
+  start_stop_fixture(fixture, milliseconds{8'000});
+  constexpr int request_count = 4;
+  raw_caller& caller = fixture.callers.emplace_back();
+  connect_caller(fixture.router.base.get(), caller, fixture.port);
+  std::string requests;
+  for (int number = 0; number < request_count; ++number) {
+    requests += request_text("/idempotent/");
+  }
+  const auto count_answers = [&caller](const std::string& status) {
+    int count = 0;
+    for (std::size_t at = caller.received.find(status); at != std::string::npos;
+         at = caller.received.find(status, at + 1)) {
+      ++count;
+    }
+    return count;
+  };
+  SUBCASE("served, while calls are taken") {
+    fixture.targets.script = {
+        {plain_response}, {plain_response}, {plain_response}, {plain_response}};
+    stop_router(fixture);
+    send_raw(caller, requests);
+    CHECK(run_until(fixture.router.base.get(), [&caller]() { return caller.closed; }));
+    CHECK(count_answers("HTTP/1.1 200") == request_count);
+  }
+  SUBCASE("refused as not run, when the time to stop is over") {
+    fixture.targets.script = {{""}};
+    send_raw(caller, requests);
+    wait_for_requests(fixture, 1);
+    stop_router(fixture);
+    advance_to(fixture, fixture.router.stop_steps.refuse_after);
+    advance_to(fixture, fixture.router.settings.stop_grace);
+    CHECK(run_until(fixture.router.base.get(), [&caller]() { return caller.closed; }));
+    CHECK(count_answers("HTTP/1.1 502") == 1);  // it may have run
+    CHECK(count_answers("HTTP/1.1 503") == request_count - 1);
+  }
+  CHECK(count_answers("Connection: close") == 1);
+}
+
 // Guards against LOST, reported by other operators: calls that may run only once were passed on
 // although they could not end in time any more.
 TEST_CASE("a call that cannot end before the router does is refused at once") {
