--- a/core/fleet/membership.cc
+++ b/core/fleet/membership.cc
@@ -94,9 +94,14 @@
     const bool alive = is_alive(peer, now);
     table.counts.live += alive ? 1 : 0;
     table.counts.accepting += alive && !peer.overloaded && !peer.leaving ? 1 : 0;
+    table.counts.before_self += alive && entry.first < table.self.address ? 1 : 0;
   }
 }
 
+double position_in_fleet(const peer_counts& counts) {
+  return static_cast<double>(counts.before_self + 1) / static_cast<double>(counts.live + 1);
+}
+
 std::vector<router_address> live_peers(const membership_table& table, instant now) {
   std::vector<router_address> result;
   for (const std::pair<const router_address, peer_state>& entry : table.peers) {
--- a/core/fleet/membership.h
+++ b/core/fleet/membership.h
@@ -61,9 +61,13 @@
 // Counts as of the last refresh_peer_counts().
 struct peer_counts {
   std::size_t live = 0;
-  std::size_t accepting = 0;  // live, and accepts new calls
+  std::size_t accepting = 0;    // live, and accepts new calls
+  std::size_t before_self = 0;  // live, with a lower address than this router's
 };
 
+// This router's position among the live ones, above 0 and up to 1, as all of them see it.
+double position_in_fleet(const peer_counts& counts);
+
 struct membership_table {
   router_identity self;
   std::vector<router_address> seeds;
--- a/router/router_process.cc
+++ b/router/router_process.cc
@@ -225,6 +225,7 @@
   update_crash_suspects(router);
   update_witnesses(router, now);
   send_due_streams(router, now);
+  router.store_client.turn = position_in_fleet(router.membership.counts);
   platform::set_live_peer_count(router.store_client, expected_store_readers(router.membership) - 1,
                                 now);
   close_stale_connections(router.target_client, now);
