Do not let peers that missed an outage overrule routers that saw it

A removal that may be an expiry, as this router has seen it, outweighs such reports, until routers that read the store say that it was final (settled removals, as before).

late_entry_test.cc, "a peer that did not see an outage does not overrule a router that did": failed before in both orders.

--- a/core/fleet/entry_history.cc
+++ b/core/fleet/entry_history.cc
@@ -84,11 +84,27 @@
   return seen_at - std::max(known_at, times.readable_since) < contradiction_time(times);
 }
 
-bool is_known_to_have_ended(const entry_history& history, const entry_version& version,
+// True if this router knows that the entry may have expired in an outage, and is back. Peers that
+// did not see the outage take that for its end.
+bool may_have_returned(const entry_history& history, std::size_t index) {
+  const target_entry& entry = *history.versions[index].entry;
+  for (std::size_t earlier = 0; earlier < index; ++earlier) {
+    const std::optional<target_entry>& known = history.versions[earlier].entry;
+    const entry_gap gap = gap_between(history, earlier, index);
+    if (known.has_value() && order_of(entry, *known) == incarnation_order::same &&
+        gap.may_be_expired && !gap.left_at.has_value()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool is_known_to_have_ended(const entry_history& history, std::size_t index,
                             const ended_table& ended, const entry_times& times) {
+  const entry_version& version = history.versions[index];
   const std::uint32_t incarnation = incarnation_hash(*version.entry);
   const std::optional<instant> ended_at = find_ended(ended, incarnation);
-  if (!ended_at.has_value()) {
+  if (!ended_at.has_value() || may_have_returned(history, index)) {
     return false;
   }
   const bool is_confirmed =
@@ -111,7 +127,7 @@
       return true;
     }
   }
-  return is_known_to_have_ended(history, version, ended, times);
+  return is_known_to_have_ended(history, index, ended, times);
 }
 
 // True if the same incarnation has said something later before, and was not removed since.
--- a/core/fleet/entry_history.h
+++ b/core/fleet/entry_history.h
@@ -10,7 +10,8 @@
 //   one. The sequence number says nothing here, since the store rewrites an entry only if more than
 //   its sequence number has changed. A removal that may be an expiry is none of these, unless the
 //   sequence number is smaller than one seen before;
-// - other routers report that its incarnation has ended (core/fleet/ended_incarnations.h); or
+// - other routers report that its incarnation has ended (core/fleet/ended_incarnations.h), and it
+//   has not expired in an outage that this router has seen; or
 // - neither start is set, so that only address and sequence number tell, and they do not show that
 //   the same incarnation goes on.
 //
--- a/core/fleet/fleet.h
+++ b/core/fleet/fleet.h
@@ -3,6 +3,8 @@
 //   config_and_targets.h  the active configuration and the table of targets, built from the
 //                         items of the platform's store. An item is never replaced by an
 //                         older revision.
+//   entry_history.h       which version of a target's entry counts, if the store does writes late.
+//   ended_incarnations.h  incarnations of targets that have ended, also as peers report.
 //   membership.h          which routers are alive. This is approximate and used for fair
 //                         shares and load estimates; no safety property may depend on it.
 //   target_view.h         whether what a router knows of the targets is current.
--- a/router/testing/late_entry_test.cc
+++ b/router/testing/late_entry_test.cc
@@ -125,6 +125,34 @@
   }
 }
 
+TEST_CASE("a peer that did not see an outage does not overrule a router that did") {
+  router_state saw_outage;
+  router_state did_not;
+  for (router_state* router : {&saw_outage, &did_not}) {
+    read_item(*router, entry_item(1, {1'000, 1}), start);
+  }
+  const instant removed_at = start + seconds{60};
+  platform::record_store_failure(saw_outage.store, removed_at - seconds{5}, removed_at);
+  platform::record_store_success(saw_outage.store, removed_at);
+  for (router_state* router : {&saw_outage, &did_not}) {
+    read_item(*router, removal_item(2), removed_at);
+  }
+  REQUIRE(is_in_use(saw_outage));
+  REQUIRE_FALSE(is_in_use(did_not));
+  const instant returned_at = removed_at + seconds{1};
+  SUBCASE("the report comes before the entry") {
+    report(did_not, saw_outage, returned_at);
+    read_item(saw_outage, entry_item(3, {1'000, 50}), returned_at);
+  }
+  SUBCASE("the entry comes before the report") {
+    read_item(saw_outage, entry_item(3, {1'000, 50}), returned_at);
+    report(did_not, saw_outage, returned_at);
+  }
+  CHECK(is_in_use(saw_outage));
+  platform::remove_expired_targets(saw_outage.store, returned_at + seconds{3});
+  CHECK(is_in_use(saw_outage));
+}
+
 TEST_CASE("a router that read only an entry of an earlier start learns that it is outdated") {
   router_state knows;
   read_item(knows, entry_item(1, {1'000, 1}), start);
