peridot_load: take rejections of routers without the call's id

Cause: since the client skips a response without the id on a connection whose server has echoed one. peridot_load uses that client, and a router rejects a request of which it has not read the body (503, "no memory for the body") without the id, with Connection: close. The load took the skipped response for a closed connection and did not retry. Whether the six uploads fill the memory exactly, so that others are rejected, depends on the order in which bodies arrive.

The load takes a response without the id if it is an error that ends the connection.

--- a/standins/peridot_load_main.cc
+++ b/standins/peridot_load_main.cc
@@ -169,6 +169,12 @@
   return choices[state.random() % choices.size()];
 }
 
+// True for a response that a router sends without the call's id, because it had not read the whole
+// request: a rejection that ends the connection.
+bool is_rejection_of_connection(const peridot::message_head& head) {
+  return head.status >= 400 && !head.keep_alive;
+}
+
 milliseconds retry_delay_of(const peridot::message_head& head) {
   const std::string text{peridot::find_header(head.headers, "Retry-After")};
   double seconds = 0;
@@ -215,6 +221,7 @@
   request.has_body = call->kind != 2;
   request.echo_header = "X-Peridotspur-Attempt-Id";
   request.echo_value = call->attempt_id;
+  request.may_lack_echo = is_rejection_of_connection;
   request.connect_timeout = milliseconds{1'000};
   request.idle_timeout = milliseconds{5'000};
   request.max_reuse_idle_time = milliseconds{1'000};
