peridot_load: take all errors of routers without the call's id

Routers answer no call of their own with its id, on kept connections either (429, 502, 504), and the load skipped these, too, since.

--- a/standins/peridot_load_main.cc
+++ b/standins/peridot_load_main.cc
@@ -174,10 +174,9 @@
   return choices.empty() ? tried.back() : choices[state.random() % choices.size()];
 }
 
-// True for a response that a router sends without the call's id, because it had not read the whole
-// request: a rejection that ends the connection.
-bool is_rejection_of_connection(const peridot::message_head& head) {
-  return head.status >= 400 && !head.keep_alive;
+// True for an error. Those of routers lack the call's id, which only targets echo.
+bool is_error(const peridot::message_head& head) {
+  return head.status >= 400;
 }
 
 milliseconds retry_delay_of(const peridot::message_head& head) {
@@ -226,7 +225,7 @@
   request.has_body = call->kind != 2;
   request.echo_header = "X-Peridotspur-Attempt-Id";
   request.echo_value = call->attempt_id;
-  request.may_lack_echo = is_rejection_of_connection;
+  request.may_lack_echo = is_error;
   request.connect_timeout = milliseconds{1'000};
   request.idle_timeout = milliseconds{5'000};
   request.max_reuse_idle_time = milliseconds{1'000};
