--- a/standins/peridot_load_main.cc
+++ b/standins/peridot_load_main.cc
@@ -28,7 +28,7 @@
 
 using peridot::milliseconds;
 
-constexpr int max_sends = 4;  // of one call, each with its own attempt id
+constexpr std::size_t max_sends = 4;  // of one call, each with its own attempt id
 
 // Delay before a retry if the response has no Retry-After header.
 constexpr milliseconds default_retry_delay{100};
@@ -60,7 +60,6 @@
 struct generated_call {
   generator_state* state = nullptr;
   int kind = 0;  // 0 streaming, 1 non-idempotent, 2 idempotent
-  int sends = 0;
   std::string attempt_id;
   std::vector<std::string> tried_routers;  // of all sends, the last one at the end
   std::string send_history;  // attempt id, router, status and client_call_result of each send
@@ -139,7 +138,7 @@
   }
   const bool can_resume = absl::GetFlag(FLAGS_resume) && call->kind == 0 && !call->resumes.empty();
   state.resumed_streams += can_resume && !had_event ? 1 : 0;
-  if ((should_retry || (can_resume && !complete)) && call->sends < max_sends) {
+  if ((should_retry || (can_resume && !complete)) && call->tried_routers.size() < max_sends) {
     call->retry_at = peridot::current_time() + call->retry_delay;
     state.pending_retries.push_back(call);
     return;
@@ -191,7 +190,6 @@
   generator_state& state = *call->state;
   constexpr const char* paths[] = {"/chat/1", "/book/1", "/hours/1"};
   ++state.total_sends;
-  call->sends += 1;
   call->attempt_id = std::to_string(state.random());
   call->tried_routers.push_back(choose_router(state, call->tried_routers));
   call->status = 0;
